--- /dev/null
+++ b/orchidlane/__init__.py
@@ -0,0 +1,1 @@
+"""orchidlane: the decisions of a quota-keeping gateway for a shared API."""
--- /dev/null
+++ b/orchidlane/state.py
@@ -0,0 +1,212 @@
+"""What a gateway remembers, as plain records. Nothing here decides anything: ``rules.py`` does."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from dataclasses import dataclass, field, replace
+
+from . import interface as api
+
+
+@dataclass(slots=True)
+class Account:
+    """One customer: counts by rank as (start, value), the limit."""
+
+    customer: int
+    key: tuple[int, int, int]  # plan, first gateway and size of its set, as told
+    limit: float
+    risen: int
+    counts: dict[int, tuple[int, float]] = field(default_factory=dict)
+    spent: float = 0.0  # the sum of the counts, those of earlier lives too
+    total: float = 0.0  # all units known to be spent: the counts, and what tellers knew besides
+    news: tuple[int, ...] = ()  # ranks whose counts changed last, the latest at the end
+    fresh: bool = True  # no other gateway has told of it yet
+    out: int = 0
+    others: tuple[int, ...] = ()  # when others' latest approvals became known
+    spread: int = 0  # when its set was last told
+    ceiling: float = 0.0  # units that its ceiling lets us send
+    asked: float = 0.0  # rights asked for and not yet given
+    closed: bool = False  # it was fast and spent nearly all: refused until a good part is back
+
+    @property
+    def plan(self) -> int:
+        """Its plan's number."""
+        return self.key[0]
+
+    @property
+    def first(self) -> int:
+        """The first gateway of its set."""
+        return self.key[1]
+
+    @property
+    def size(self) -> int:
+        """How many gateways its set has."""
+        return self.key[2]
+
+    @property
+    def room(self) -> float:
+        """The limit less all that was spent."""
+        return self.limit - self.total
+
+
+@dataclass(slots=True)
+class Known:
+    """What requests met lately, at one server or at all."""
+
+    seen: int  # when it last taught us something
+    slow: float = 1.0
+    fails: float = 0.0
+
+    def marks(self, now: int, fade_over: int, prior: float = 1.0) -> tuple[float, float]:
+        """How slow it is and how often it failed, each faded by the time since it taught us something."""
+        fade = math.exp((self.seen - now) / fade_over)
+        return prior + (self.slow - prior) * fade, self.fails * fade
+
+    def fade(self, now: int, fade_over: int) -> None:
+        """Bring the marks up to now."""
+        (self.slow, self.fails), self.seen = self.marks(now, fade_over), now
+
+
+@dataclass(slots=True)
+class Host(Known):
+    """A server: what discovery says and what requests met."""
+
+    entry: api.ServerEntry = field(kw_only=True)
+    out: int = 0
+    active: int = 0  # last answer, or when the first of those out was sent
+    typical: float = 2.0  # load that its answer times were met under
+
+    def shares(self, group: api.Group) -> int:
+        """What two servers have in common that drop each other's repeats."""
+        return {api.Group.ALL: 0, api.Group.ZONE: self.entry.zone, api.Group.CELL: self.entry.cell}[group]
+
+
+class Pool:
+    """Servers in a list to draw from; adding and removing one costs the same at any size."""
+
+    def __init__(self) -> None:
+        self.hosts: list[Host] = []
+        self.places: dict[api.Server, int] = {}
+
+    def add(self, host: Host) -> None:
+        """Put a server in, once."""
+        if host.entry.server not in self.places:
+            self.places[host.entry.server] = len(self.hosts)
+            self.hosts.append(host)
+
+    def remove(self, server: api.Server) -> None:
+        """Take a server out; the last one fills its place."""
+        place = self.places.pop(server, None)
+        if place is not None:
+            last = self.hosts.pop()
+            if place < len(self.hosts):
+                self.hosts[place] = last
+                self.places[last.entry.server] = place
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One send; ran means that it may have run."""
+
+    host: Host
+    sent: int
+    load: float
+    out: bool = True
+    ran: bool = True
+
+
+@dataclass(slots=True)
+class Request:
+    """A request that is owed an answer."""
+
+    event: api.RequestArrived
+    cls: api.RequestClass
+    until: int
+    lot: float = 0.0  # drawn anew for each attempt: which cold server it may try
+    account: Account | None = None  # known once it is admitted
+    attempts: list[Attempt] = field(default_factory=list)
+
+    @property
+    def out(self) -> list[Attempt]:
+        """Those of its attempts that have no outcome yet."""
+        return [attempt for attempt in self.attempts if attempt.out]
+
+
+class Memory:
+    """All that a gateway holds, empty at its start."""
+
+    def __init__(self) -> None:
+        self.accounts: dict[int, Account] = {}
+        self.idle_queue: deque[int] = deque()  # customers, in the order of their next look
+        self.changed: dict[int, None] = {}  # customers whose counts changed since they were told
+        self.heard: dict[int, int] = {}  # rank -> when it was last heard
+        self.asked: deque[tuple[int, int, int, int]] = deque()  # when, rank, customer, which keeper
+        self.hosts: dict[api.Server, Host] = {}
+        self.met = Known(0)  # by all servers together
+        self.zones_met: dict[int, Known] = {}  # by those of one zone
+        self.warm, self.cold = Pool(), Pool()
+        self.cells: dict[int, Pool] = {}
+        self.zones: dict[int, Pool] = {}
+        self.warming: deque[Host] = deque()  # servers in the order of their listing, until they are warm
+        self.requests: dict[int, Request] = {}
+        self.attempts: dict[tuple[int, int], tuple[Attempt, Request]] = {}
+        self.actions: list[api.Action] = []
+
+    def begin(self, request: Request, attempt: Attempt) -> None:
+        """Count one more attempt in."""
+        attempt.host.out += 1
+        request.account.out += 1
+        self.attempts[request.event.request, len(request.attempts)] = attempt, request
+        request.attempts.append(attempt)
+
+    def ended(self, request: int, number: int) -> tuple[Attempt, int]:
+        """Count an attempt out; it and its request's class."""
+        attempt, of = self.attempts.pop((request, number))
+        attempt.out = False
+        attempt.host.out -= 1
+        of.account.out -= 1
+        return attempt, of.event.kind
+
+    def apply_list(self, event: api.ServerListed, now: int) -> list[Host]:
+        """Bring the servers up to date with discovery; those that are ready and new or started anew."""
+        if event.kind is not api.ListKind.CHANGES:
+            told = {entry.server for entry in event.entries}
+            for server in [s for s in self.hosts if s not in told]:
+                self._take_out(self.hosts[server])
+                self.hosts[server].entry = replace(self.hosts[server].entry, phase=api.Phase.GONE)
+        fresh = []
+        for entry in event.entries:
+            host = self.hosts.get(entry.server)
+            anew = host is None or entry.launched > host.entry.launched
+            was_ready = host is not None and host.entry.phase is api.Phase.READY
+            if host is not None and (anew or entry.phase is not api.Phase.READY):
+                self._take_out(host)
+            if host is None or anew:
+                host = self.hosts[entry.server] = Host(now, entry=entry)
+            host.entry = entry
+            self.zones_met.setdefault(entry.zone, Known(0))
+            if entry.phase is api.Phase.READY and (anew or not was_ready):
+                self.cells.setdefault(entry.cell, Pool()).add(host)
+                self.zones.setdefault(entry.zone, Pool()).add(host)
+                fresh.append(host)
+        return fresh
+
+    def warm_first(self) -> None:
+        """The server that was listed first joins the warm ones, if it still runs."""
+        host = self.warming.popleft()
+        if self.hosts.get(host.entry.server) is host and host.entry.phase is api.Phase.READY:
+            self.cold.remove(host.entry.server)
+            self.warm.add(host)
+
+    def near(self, host: Host, group: api.Group) -> list[Host]:
+        """The servers that share the group with this one, those that are cold too."""
+        if group is api.Group.ALL:
+            return self.warm.hosts
+        pools = self.cells if group is api.Group.CELL else self.zones
+        return pools[host.shares(group)].hosts
+
+    def _take_out(self, host: Host) -> None:
+        for pool in (self.warm, self.cold, self.cells.get(host.entry.cell), self.zones.get(host.entry.zone)):
+            if pool is not None:
+                pool.remove(host.entry.server)
--- /dev/null
+++ b/tests/test_servers.py
@@ -0,0 +1,152 @@
+"""What the choice of server, the retries and the shedding have to withstand."""
+
+from __future__ import annotations
+
+from conftest import SECOND, Bench, entry, listed, of
+
+from orchidlane import interface as api
+from orchidlane.interface import Outcome
+
+
+def serve(bench: Bench, request: int, took) -> api.Send | None:
+    """Ask, and answer at once with a time by server; the send, if there was one."""
+    sends = of(bench.ask(request, customer=request, left=2 * SECOND), api.Send)
+    if not sends:
+        return None
+    bench.run(10_000)
+    bench.outcome(request, sends[0].server, Outcome.SERVED, took=took(sends[0].server))
+    return sends[0]
+
+
+def test_a_jam_ends_when_its_cause_does():
+    """An answer time learnt in a jam must not refuse everything for good (lockout of an incident)."""
+    bench = Bench(servers=3)
+    for request in range(1, 200):
+        serve(bench, request, lambda _: 3 * SECOND)
+    bench.run(10 * SECOND)
+    assert sum(serve(bench, r, lambda _: 20_000) is not None for r in range(200, 240)) > 30
+
+
+def test_a_jam_of_the_whole_fleet_is_noticed_by_a_gateway_that_meets_each_server_seldom():
+    """Each of many gateways met each server once in many seconds, learnt nothing, let all in (incident)."""
+    bench = Bench(servers=200)
+    for request in range(1, 40):
+        serve(bench, request, lambda _: 60_000)
+    before = sum(serve(bench, r, lambda _: 3 * SECOND) is not None for r in range(100, 140))
+    during = sum(serve(bench, r, lambda _: 3 * SECOND) is not None for r in range(200, 240))
+    assert during < before / 2
+    bench.run(15 * SECOND)
+    assert serve(bench, 300, lambda _: 60_000) is not None
+
+
+def test_slow_servers_get_less_and_come_back():
+    bench = Bench(servers=4)
+    slow = entry(0).server
+
+    def part(first: int, took) -> float:
+        sends = [s for r in range(first, first + 120) if (s := serve(bench, r, took))]
+        return sum(s.server == slow for s in sends) / len(sends)
+
+    assert part(1, lambda server: 200_000 if server == slow else 30_000) < 0.1
+    bench.run(15 * SECOND)
+    assert part(500, lambda _: 30_000) > 0.12
+
+
+def test_a_server_that_refuses_connections_is_left_alone():
+    bench = Bench(servers=4)
+    dead, tried = entry(0).server, 0
+    for request in range(1, 101):
+        send = of(bench.ask(request, customer=request), api.Send)[0]
+        attempt = 0
+        while send.server == dead:
+            tried += 1
+            send = of(bench.outcome(request, dead, Outcome.NOT_CONNECTED, attempt=attempt), api.Send)[0]
+            attempt += 1
+        bench.run(5_000)
+        bench.outcome(request, send.server, Outcome.SERVED, attempt=attempt, took=30_000)
+    assert tried <= 5
+
+
+def test_a_zone_that_cannot_be_reached_is_avoided_before_each_of_its_servers_failed():
+    """In a cut each server of the other zone was tried in turn (ctva-kathmandu-later big-1)."""
+    bench, tried = Bench(servers=0), 0
+    far = {entry(i).server for i in range(50)}
+    bench.feed(listed(*(entry(i, zone=int(i >= 50)) for i in range(100))))
+    for request in range(1, 101):
+        out, attempt = of(bench.ask(request, customer=request), api.Send), 0
+        while out:
+            lost = out[0].server in far
+            tried += lost
+            outcome = Outcome.NOT_CONNECTED if lost else Outcome.SERVED
+            out = of(bench.outcome(request, out[0].server, outcome, attempt=attempt, took=30_000), api.Send)
+            attempt += 1
+        bench.run(20_000)
+    assert tried < 20
+
+
+def test_when_all_servers_fail_none_is_put_aside_for_good():
+    bench = Bench(servers=3)
+    for request in range(1, 30):
+        out, attempt = of(bench.ask(request, customer=request), api.Send), 0
+        while out:
+            out = of(bench.outcome(request, out[0].server, Outcome.NOT_CONNECTED, attempt=attempt), api.Send)
+            attempt += 1
+    bench.run(10 * SECOND)
+    sends = [s for r in range(50, 62) for s in of(bench.ask(r, customer=r), api.Send)]
+    assert len({s.server for s in sends}) == 3
+
+
+def test_errors_do_not_multiply_the_load():
+    bench = Bench(servers=4)
+    sends = 0
+    for request in range(1, 201):
+        out = of(bench.ask(request, customer=request), api.Send)
+        attempt = 0
+        while out:
+            sends += 1
+            out = of(bench.outcome(request, out[0].server, Outcome.ERROR, attempt=attempt), api.Send)
+            attempt += 1
+        bench.run(50_000)
+    assert sends < 200 * 1.15
+
+
+def test_overload_is_refused_at_once():
+    bench = Bench(servers=2)
+    for request in range(1, 41):
+        serve(bench, request, lambda _: 60_000)
+    sends = [s for r in range(100, 200) for s in of(bench.ask(r, customer=r), api.Send)]
+    assert 0 < len(sends) < 50
+    assert not [a for a in bench.run(SECOND // 10) if isinstance(a, api.Refuse)]  # none was held first
+
+
+def test_an_idle_slow_kind_is_not_shed():
+    """The usual answer time itself is no reason to refuse, however near to the aim it is."""
+    bench = Bench(servers=1)
+    assert all(serve(bench, r, lambda _: 110_000) for r in range(1, 60))
+
+
+def test_two_alike_gateways_act_alike():
+    logs = []
+    for _ in range(2):
+        bench = Bench(servers=9, seed=3)
+        for request in range(1, 50):
+            serve(bench, request, lambda s: 20_000 + 1_000 * s[3])
+        logs.append(bench.log)
+    assert logs[0] == logs[1]
+
+
+def test_a_stalled_server_is_passed_over():
+    bench = Bench(servers=0)
+    bench.feed(listed(entry(1), entry(2)))
+    stalled = of(bench.ask(1, kind=2), api.Send)[0].server
+    bench.run(300_000)
+    others = [s.server for r in range(2, 6) for s in of(bench.ask(r, customer=r, kind=2), api.Send)]
+    assert others
+    assert stalled not in others
+
+
+def test_the_few_servers_that_can_serve_are_found_among_many_cold_ones():
+    """A sample of a mostly cold fleet held requests though a warm server was free (incident)."""
+    bench = Bench(servers=0)
+    bench.feed(listed(entry(0), *(entry(i, launched=bench.now) for i in range(1, 200))))
+    assert [s.server for s in of(bench.ask(1), api.Send)] == [entry(0).server]
