--- /dev/null
+++ b/saffrongw/config.py
@@ -0,0 +1,108 @@
+"""The configuration: JSON to typed values; the settings go through the module's own parser."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from orchidlane import interface as api
+from orchidlane import wire
+
+Address = tuple[str, int]
+
+PHASES = {"SERVING": api.Phase.READY, "DRAINING": api.Phase.DRAINING, "DELETED": api.Phase.GONE}
+MS = 1_000  # microseconds
+
+
+@dataclass(frozen=True, slots=True)
+class HostEntry:
+    """One line of discovery's list: what the module is told, and where to connect."""
+
+    entry: api.ServerEntry
+    address: Address
+
+
+@dataclass(frozen=True, slots=True)
+class HostList:
+    """A list of hosts, or what changed in it."""
+
+    version: int
+    whole: bool
+    hosts: tuple[HostEntry, ...]
+    odd: int = 0  # entries that made no sense and were left out
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that the gateway is told at its start."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    peer_listen: Address | None
+    peers: tuple[Address, ...]
+    known: HostList
+    settings: api.Settings
+    classes: dict[bytes, int]
+    plans: dict[bytes, int]
+    zones: tuple[str, ...]
+    units_most: float
+    idle_close: float  # seconds
+    connect_timeout: float  # seconds
+
+
+def address(text: str) -> Address:
+    """``HOST:PORT`` as a pair."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise ValueError(f"not an address: {text!r}")
+    return host, int(port)
+
+
+def parse_hosts(raw: dict[str, Any], zones: tuple[str, ...]) -> HostList:
+    """Discovery's form of a list; an odd entry is left out and counted, the others stand."""
+    hosts, odd = [], 0
+    for line in raw["hosts"]:
+        try:
+            site = line["site"]
+            entry = api.ServerEntry(
+                server=str(line["host"]).encode(),
+                phase=PHASES[line["health"]],
+                zone=zones.index(site) if site in zones else len(zones),
+                cell=int(line["block"]),
+                launched=int(line["born_ms"]) * MS,
+                size=float(line["share"]),
+            )
+            hosts.append(HostEntry(entry, address(line["dial"])))
+        except (KeyError, TypeError, ValueError, AttributeError):
+            odd += 1
+    return HostList(int(raw["seq"]), bool(raw["whole"]), tuple(hosts), odd)
+
+
+def parse(text: str) -> Config:
+    """The whole configuration."""
+    raw = json.loads(text)
+    settings = raw["settings"]
+    zones = tuple(settings["zones"])
+    peers = raw.get("peers") or ()
+    may = settings["permissions"]
+    return Config(
+        name=raw["name"],
+        listen=address(raw["listen"]),
+        discovery=address(raw["discovery"]),
+        seed=int(raw["seed"], 16),
+        sockets=int(raw["limits"]["sockets"]),
+        peer_listen=address(raw["peer_listen"]) if peers and raw.get("peer_listen") else None,
+        peers=tuple(address(peer) for peer in peers),
+        known=parse_hosts(raw["known"], zones),
+        settings=wire.parse_settings(json.dumps(settings).encode()),
+        classes={c["name"].encode(): i for i, c in enumerate(settings["classes"])},
+        plans={p["name"].encode(): i for i, p in enumerate(settings["packages"])},
+        zones=zones,
+        units_most=float(settings["familyInfo"].get("unitsTop") or 1),
+        idle_close=may["idleClose"] / 1e6,
+        connect_timeout=may["connectTimeout"] / 1e6,
+    )
--- /dev/null
+++ b/saffrongw/discovery.py
@@ -0,0 +1,132 @@
+"""The watch on discovery: one kept HTTP connection, the next call at once after each answer."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Callable
+
+import h11
+
+from .config import Address, HostList, parse_hosts
+
+log = logging.getLogger(__name__)
+
+PATH = "/registry/instances"
+WAIT = 20.0  # seconds that a call may wait for news
+ANSWER_WITHIN = 2.0  # seconds beyond that: a silent agent is tried anew
+BACK_OFF, BACK_OFF_MOST = 0.05, 1.0  # seconds before connecting again, doubled with each failure
+CONNECT_WITHIN = 1.0
+
+
+class Exchange(asyncio.Protocol):
+    """One HTTP connection with one call out at a time."""
+
+    def __init__(self, watch: Watch) -> None:
+        self.watch, self.http = watch, h11.Connection(h11.CLIENT)
+        self.status, self.body = 0, bytearray()
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Connected: after a gap the whole list is fetched."""
+        self.transport = transport
+        self.watch.connected(self)
+
+    def call(self, target: str, host: str) -> None:
+        """Send one request."""
+        request = h11.Request(method="GET", target=target, headers=[("host", host)])
+        self.transport.write(self.http.send(request) + self.http.send(h11.EndOfMessage()))
+
+    def data_received(self, data: bytes) -> None:
+        """An answer, or a part of it."""
+        try:
+            self.http.receive_data(data)
+            while (event := self.http.next_event()) not in (h11.NEED_DATA, h11.PAUSED):
+                if isinstance(event, h11.Response):
+                    self.status = event.status_code
+                elif isinstance(event, h11.Data):
+                    self.body += event.data
+                elif isinstance(event, h11.EndOfMessage):
+                    body, self.body = bytes(self.body), bytearray()
+                    if self.status != 200:
+                        raise ValueError(f"discovery answered {self.status}")
+                    listed = self.watch.parse(body)
+                    self.http.start_next_cycle()
+                    self.watch.answered(listed)
+                elif isinstance(event, h11.ConnectionClosed):
+                    break
+        except (ValueError, KeyError, TypeError, AttributeError, h11.ProtocolError) as wrong:
+            log.warning("discovery: %s", wrong)
+            self.transport.abort()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Closed by the agent, or by us as it made no sense."""
+        self.watch.lost(self)
+
+
+class Watch:
+    """Keeps the list of hosts up to date for as long as the gateway runs."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: Address,
+        zones: tuple[str, ...],
+        told: Callable[[HostList], None],
+        wait: float = WAIT,
+        answer_within: float = ANSWER_WITHIN,
+    ) -> None:
+        self.loop, self.address, self.zones, self.told = loop, address, zones, told
+        self.wait, self.answer_within = wait, answer_within
+        self.back_off = BACK_OFF
+        self.exchange: Exchange | None = None
+        self.silence: asyncio.TimerHandle | None = None
+        self.task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Connect and begin."""
+        self.task = self.loop.create_task(self._connect())
+
+    async def _connect(self) -> None:
+        try:
+            async with asyncio.timeout(CONNECT_WITHIN):
+                await self.loop.create_connection(lambda: Exchange(self), *self.address)
+        except OSError:
+            self._later()
+
+    def _later(self) -> None:
+        self.loop.call_later(self.back_off, self.start)
+        self.back_off = min(BACK_OFF_MOST, 2 * self.back_off)
+
+    def connected(self, exchange: Exchange) -> None:
+        """A new connection: what changed meanwhile is not known, so the whole list."""
+        self.exchange = exchange
+        self._call(PATH, self.answer_within)
+
+    def parse(self, body: bytes) -> HostList:
+        """An answer as a list; raises where it is none."""
+        return parse_hosts(json.loads(body), self.zones)
+
+    def answered(self, listed: HostList) -> None:
+        """Call again at once, then pass on what was told."""
+        self.back_off = BACK_OFF
+        target = f"{PATH}?index={listed.version}&wait={int(self.wait * 1000)}"
+        self._call(target, self.wait + self.answer_within)
+        if listed.odd:
+            log.warning("discovery: %d odd entries left out", listed.odd)
+        if listed.whole or listed.hosts:
+            self.told(listed)
+
+    def lost(self, exchange: Exchange) -> None:
+        """The connection is gone: a new one after a short while."""
+        if exchange is self.exchange:
+            self.exchange = None
+            self.silence.cancel()
+            self._later()
+
+    def _call(self, target: str, within: float) -> None:
+        if self.silence:
+            self.silence.cancel()
+        self.silence = self.loop.call_later(within, self.exchange.transport.abort)
+        self.exchange.call(target, ":".join(map(str, self.address)))
--- /dev/null
+++ b/saffrongw/driver.py
@@ -0,0 +1,304 @@
+"""Feeds events to one ``Gateway`` and carries out its actions: clock, timers, numbers, deadlines, answers.
+
+A ``Call`` is a client's request from its last byte to its one final answer. Only ``_finish`` answers it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import ClassVar, Protocol
+
+from orchidlane import interface as api
+from orchidlane.rules import Gateway
+
+from .config import HostList
+
+log = logging.getLogger(__name__)
+
+MS = 1_000  # microseconds
+# The client's clock started when it sent: so much before its time is up the last answer must be on its way.
+ON_THE_WAY = 10 * MS
+GUARD = 5 * MS  # after the module's own deadline: it has answered by then, or the driver does
+FAILED = b"-ERR failed\r\n"
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """What a client's command says of its request; wait in microseconds."""
+
+    customer: int
+    kind: int
+    plan: int
+    wait: int
+    units: float
+    spread: int
+    first: int
+    is_repeat: bool
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """A client's request: what goes to hosts, and how it stands."""
+
+    event: api.RequestArrived
+    parts: tuple[bytes, ...]  # command, customer, id, terms before and after the value of ``d``, perhaps body
+    until: int  # clock time by which it must be answered
+    answer: Callable[[bytes], None]
+    attempts: list[Attempt] = field(default_factory=list)
+    guard: asyncio.TimerHandle | None = None
+    finished: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One send of a call to a host; it ends exactly once."""
+
+    call: Call
+    number: int
+    server: api.Server
+    sent: int
+    give_up_at: int
+    timer: asyncio.TimerHandle | None = None
+    link: object = None  # where hosts.py keeps what carries it
+    whole: bool = False  # its last byte has left: from then on it may run
+    ended: bool = False
+
+
+class Hosts(Protocol):
+    """What the driver needs of ``hosts.py``."""
+
+    def send(self, attempt: Attempt) -> None:
+        """Begin an attempt."""
+
+    def give_up(self, attempt: Attempt) -> None:
+        """Stop waiting for an attempt."""
+
+    def told(self, listed: HostList) -> None:
+        """Discovery's list has changed."""
+
+
+class Clock:
+    """Unix time in microseconds, read once and then advanced by the monotonic clock: it never jumps."""
+
+    def __init__(self) -> None:
+        self.base = time.time_ns() - time.monotonic_ns()
+
+    def __call__(self) -> int:
+        return (self.base + time.monotonic_ns()) // 1_000
+
+
+class Driver:
+    """The one Gateway with its clock and timers, and the bookkeeping of answers owed."""
+
+    def __init__(self, settings: api.Settings, seed: int, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop, self.clock = loop, Clock()
+        self.gateway = Gateway(settings, seed, self.clock())
+        self.hosts: Hosts | None = None
+        self.tell_peer: Callable[[int, bytes], None] = lambda rank, body: None
+        self.calls: dict[int, Call] = {}
+        self.last_number = 0
+        self.pending: deque[api.Event] = deque()
+        self.feeding = False
+
+    def start(self, known: HostList) -> None:
+        """The first actions, and the list as it was last known, before any client is served."""
+        self._carry_out(self.gateway.start())
+        self.listed(known, cached=True)
+
+    # -- events ---------------------------------------------------------------------------------------------
+
+    def arrived(self, terms: Terms, parts: tuple[bytes, ...], answer: Callable[[bytes], None]) -> Call:
+        """A client's request, its last byte just read; the client's own ids stay outside the module."""
+        self.last_number += 1
+        left = max(MS, terms.wait - ON_THE_WAY)
+        event = api.RequestArrived(
+            self.last_number,
+            terms.customer,
+            terms.plan,
+            terms.kind,
+            terms.units,
+            left,
+            terms.first,
+            terms.spread,
+            terms.is_repeat,
+        )
+        call = Call(event, parts, self.clock() + left, answer)
+        self.calls[self.last_number] = call
+        call.guard = self._at(call.until + GUARD, self._overdue, call)
+        self.feed(event)
+        return call
+
+    def client_gone(self, call: Call) -> None:
+        """The client has closed its connection: nothing is owed any more."""
+        if not call.finished:
+            self._close(call)
+            self.feed(api.ClientGone(call.event.request))
+
+    def attempt_ended(
+        self,
+        attempt: Attempt,
+        outcome: api.Outcome,
+        value: bytes | None = None,
+        report: tuple[float, ...] = (),
+    ) -> None:
+        """What came of an attempt; the first one served answers the client before the module is told."""
+        if attempt.ended:
+            return
+        attempt.ended = True
+        if attempt.timer:
+            attempt.timer.cancel()
+        call = attempt.call
+        if value is not None and not call.finished:
+            self._finish(call, value)
+        took = self.clock() - attempt.sent
+        self.feed(
+            api.AttemptEnded(
+                call.event.request,
+                attempt.number,
+                attempt.server,
+                outcome,
+                took,
+                call.finished,
+                0,
+                0.0,
+                report,
+            )
+        )
+
+    def listed(self, listed: HostList, cached: bool = False) -> None:
+        """Discovery told something."""
+        kind = api.ListKind.WHOLE if listed.whole else api.ListKind.CHANGES
+        if cached:
+            kind = api.ListKind.CACHED
+        self.hosts.told(listed)
+        self.feed(api.ServerListed(kind, listed.version, tuple(host.entry for host in listed.hosts)))
+
+    def peer_said(self, sender: int, body: bytes) -> None:
+        """A datagram of another gateway."""
+        self.feed(api.PeerMessage(sender, body))
+
+    def feed(self, event: api.Event) -> None:
+        """One event to the module; what an action leads to at once waits until all of them are done."""
+        self.pending.append(event)
+        if self.feeding:
+            return
+        self.feeding = True
+        try:
+            while self.pending:
+                self._handle(self.pending.popleft())
+        finally:
+            self.feeding = False
+
+    def _handle(self, event: api.Event) -> None:
+        try:
+            self._carry_out(self.gateway.handle(self.clock(), event))
+        except Exception:  # guards against a fault of the decisions taking all held requests with it
+            log.exception("the decisions failed on %s", event.topic)
+            number = event.token - 1 if isinstance(event, api.TimerFired) else getattr(event, "request", 0)
+            call = self.calls.get(number)
+            if call is not None and not call.finished:
+                self._finish(call, FAILED)
+                self.pending.append(api.ClientGone(number))
+            # Guards the gossip's own timer, which it sets anew before all else.
+            self._carry_out([a for a in self.gateway.actions if isinstance(a, api.SetTimer)])
+
+    # -- actions --------------------------------------------------------------------------------------------
+
+    def _carry_out(self, actions: list[api.Action]) -> None:
+        for action in actions:
+            self._DO[type(action)](self, action)
+
+    def _send(self, action: api.Send) -> None:
+        call = self.calls.get(action.request)
+        if call is None:
+            return
+        now = self.clock()
+        give_up_at = min(action.give_up_at or call.until, call.until)
+        attempt = Attempt(call, len(call.attempts), action.server, now, give_up_at)
+        call.attempts.append(attempt)
+        attempt.timer = self._at(give_up_at, self._timed_out, attempt)
+        self.hosts.send(attempt)
+
+    def _cancel(self, action: api.Cancel) -> None:
+        call = self.calls.get(action.request)
+        if call is None or action.attempt >= len(call.attempts):
+            return
+        attempt = call.attempts[action.attempt]
+        if not attempt.ended:
+            self.hosts.give_up(attempt)
+            self.attempt_ended(attempt, api.Outcome.CANCELLED)
+
+    def _refuse(self, action: api.Refuse) -> None:
+        if call := self.calls.get(action.request):
+            wait = action.retry_after // MS
+            self._finish(call, b"-BUSY %d\r\n" % wait if wait else b"-BUSY\r\n")
+
+    def _fail(self, action: api.Fail) -> None:
+        if call := self.calls.get(action.request):
+            self._finish(call, FAILED)
+
+    def _set_timer(self, action: api.SetTimer) -> None:
+        self._after(action.span, self.feed, api.TimerFired(action.token))
+
+    def _tell(self, action: api.TellPeer) -> None:
+        self.tell_peer(action.peer, action.body)
+
+    def _nothing(self, action: api.Action) -> None:
+        """The watch on discovery runs in any case, and these decisions send no probes."""
+
+    _DO: ClassVar = {
+        api.Send: _send,
+        api.Cancel: _cancel,
+        api.Refuse: _refuse,
+        api.Fail: _fail,
+        api.SetTimer: _set_timer,
+        api.TellPeer: _tell,
+        api.AskList: _nothing,
+        api.FetchList: _nothing,
+        api.Probe: _nothing,
+    }
+
+    # -- answers and deadlines ------------------------------------------------------------------------------
+
+    def _finish(self, call: Call, reply: bytes) -> None:
+        """Every final answer passes here, once for each call."""
+        if not call.finished:
+            self._close(call)
+            call.answer(reply)
+
+    def _close(self, call: Call) -> None:
+        call.finished = True
+        call.guard.cancel()
+        if all(attempt.ended for attempt in call.attempts):
+            self.calls.pop(call.event.request, None)
+        else:  # a Cancel of what is still out may follow: kept for the length of one turn of the loop
+            self.loop.call_soon(self.calls.pop, call.event.request, None)
+
+    def _timed_out(self, attempt: Attempt) -> None:
+        """Nothing came in time. What never left whole has certainly not run."""
+        if not attempt.ended:
+            self.hosts.give_up(attempt)
+            outcome = api.Outcome.TIMED_OUT if attempt.whole else api.Outcome.NOT_CONNECTED
+            self.attempt_ended(attempt, outcome)
+
+    def _overdue(self, call: Call) -> None:
+        """Guards the client's deadline: whatever the module does, it gets an answer before its time is up."""
+        if call.finished:
+            return
+        log.warning("a request was left unanswered by the decisions")
+        self._finish(call, FAILED)
+        for attempt in call.attempts:
+            self._timed_out(attempt)
+        self.feed(api.ClientGone(call.event.request))
+
+    def _after(self, span: int, callback: Callable, *args) -> asyncio.TimerHandle:
+        """Call back no earlier than a span from now: the loop counts whole milliseconds."""
+        return self.loop.call_later((span // MS + 1) / 1_000, callback, *args)
+
+    def _at(self, when: int, callback: Callable, *args) -> asyncio.TimerHandle:
+        return self._after(max(0, when - self.clock()), callback, *args)
