--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -43,11 +43,10 @@
 COLD_CARE = 0.9  # of the fair share of a cold server's least capacity that is used
 
 # Attempts
-LEAVE = 30 * MS  # before the client's time is up, a held request is ended
-HOLD = 20 * MS  # between two looks at a request that has no server
-REPEAT_BUDGET = 0.05  # further attempts earned by each request: no retry storms
-REPEAT_MOST = 5.0  # further attempts saved up
+LEAVE, HOLD = 30 * MS, 20 * MS  # a held request ends before its time is up / between looks for a server
+REPEAT_BUDGET, REPEAT_MOST = 0.05, 5.0  # further attempts earned by each request, saved up: no retry storms
 SHED = 0.15  # of the aim beyond the usual time: slower, a request is refused
+SOON = 0.15  # of the aim: who is sent to come back later than that spends quota on an answer that is late
 TURN, ASKED = 0, 1 << 40  # tokens of timers: gossip, answers due; a request's has its id + 1
 
 
@@ -195,7 +194,8 @@
         cls = request.cls
         ran, number = any(a.ran for a in request.attempts), request.event.request
         repeats = cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL)
-        self.actions.append(api.Refuse(number, 0) if repeats or not ran else api.Fail(number))
+        wait = request.back_in(self.s.plans, REOPEN, min(SOON * cls.aim, self.s.max_retry_after))
+        self.actions.append(api.Refuse(number, wait) if repeats or not ran else api.Fail(number))
         self._drop(request)
 
     def _drop(self, request: Request) -> None:
--- a/orchidlane/state.py
+++ b/orchidlane/state.py
@@ -132,6 +132,14 @@
         """Those of its attempts that have no outcome yet."""
         return [attempt for attempt in self.attempts if attempt.out]
 
+    def back_in(self, plans: tuple[api.Plan, ...], reopen: float, most: float) -> int:
+        """How long until its customer's quota holds enough to let it in; 0: not known, or more than most."""
+        if (account := self.account) is None or not (plan := plans[account.plan]).rate:
+            return 0
+        enough = reopen * plan.burst if account.closed else self.event.units
+        span = int(max(0.0, enough - account.room) / plan.rate * 1_000_000)
+        return span if span <= most else 0
+
 
 class Memory:
     """All that a gateway holds, empty at its start."""
--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -235,7 +235,7 @@
 
     def _refuse(self, action: api.Refuse) -> None:
         if call := self.calls.get(action.request):
-            wait = action.retry_after // MS
+            wait = -(-action.retry_after // MS)  # a client that came back earlier would be refused again
             self._finish(call, b"-BUSY %d\r\n" % wait if wait else b"-BUSY\r\n")
 
     def _fail(self, action: api.Fail) -> None:
--- a/tests/test_counts.py
+++ b/tests/test_counts.py
@@ -379,3 +379,24 @@
     bench.feed(listed(entry(1)))
     assert 1 in [send.request for send in of(bench.run(100_000), api.Send)]
     assert bench.gateway.accounts[7].total == 1.0
+
+
+def test_a_refused_client_is_told_when_its_quota_reopens_if_that_is_soon():
+    """Nothing is told where a client that waits so long would only spend quota on a late answer."""
+    bench = Bench(gateways=1)
+    for request in range(1, 60):
+        bench.ask(request, size=1)
+        bench.outcome(request, bench.log[-1].server, api.Outcome.SERVED) if of(
+            bench.log[-1:], api.Send
+        ) else None
+    (refused, *_) = of(bench.log, api.Refuse)
+    assert refused.retry_after == 0  # its quota needs seconds
+    for request in range(60, 200):
+        bench.run(25_000)
+        (answer, *_) = bench.ask(request, size=1)
+        if answer.retry_after:
+            break
+    told = answer.retry_after
+    assert 0 < told <= 75_000  # 0.15 of the aim
+    bench.run(told + 1)
+    assert of(bench.ask(200, size=1), api.Send)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -307,3 +307,16 @@
     assert await holder.replied() == await late.replied() == [b"ok"]
     assert await asyncio.wait_for(process.wait(), 10) == 0
     assert holder.closed and late.closed
+
+
+@asyncio_test
+async def test_a_refusal_tells_when_to_come_back_in_whole_milliseconds_and_no_earlier():
+    rig = Rig(await FakeHost("a").listen())
+    caller = await rig.caller()
+    for wait, line in ((0, "BUSY"), (1_000, "BUSY 1"), (1_001, "BUSY 2")):
+        rig.driver.gateway._advance = lambda request, wait=wait: rig.driver.gateway.actions.append(
+            api.Refuse(request.event.request, wait)
+        )
+        caller.call()
+        await until(lambda: caller.replies)
+        assert error(caller.replies.pop()) == line
