Guards found in a review: a stuck client, a slow reader, a fault in the gossip's turn

Reading the code found: a client stuck within a command held up the exit after SIGTERM; actions were carried out within the try of the decisions, so that a fault of ours would have set timers twice; a customer such as 0x00000000000007 passed. Each has a test over loopback.

--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import re
 from collections import deque
 
 import hiredis
@@ -15,7 +16,8 @@
 
 VALUE_MOST = 64 * 1024  # bytes in one value
 UNFINISHED_MOST = 5 * VALUE_MOST  # bytes of one command: more means that its framing is lost
-HELD_MOST = 64  # bytes of a request's id
+ID_MOST = 64  # bytes of a request's id
+UNFINISHED_FOR = 1.0  # seconds that a client stuck within a command may hold up the end
 CUSTOMER_BITS = 33
 WAIT_MOST = 3_600_000  # ms
 MS = 1_000
@@ -31,7 +33,7 @@
         raise Malformed("wrong number of values")
     name, customer, number, text = command[:4]
     try:
-        if len(customer) != 16 or not customer.isalnum() or (key := int(customer, 16)) >> CUSTOMER_BITS:
+        if not re.fullmatch(rb"[0-9A-Fa-f]{16}", customer) or (key := int(customer, 16)) >> CUSTOMER_BITS:
             raise Malformed("customer is not 16 hex digits below 2^33")
         pairs = [pair.split(b"=", 1) for pair in text.split(b",")]
         terms = dict(pairs)
@@ -57,7 +59,7 @@
         raise Malformed("term units is out of range")
     if not 1 <= spread <= gateways or not 0 <= first < gateways:
         raise Malformed("terms spread and first are out of range")
-    if not 0 < len(number) <= HELD_MOST:
+    if not 0 < len(number) <= ID_MOST:
         raise Malformed("the request's id is empty or too long")
     at = (b"," + text).index(b",d=") + 2
     parts = (name, customer, number, text[:at], text[at + len(wait) :], *command[4:])
@@ -119,7 +121,7 @@
                 raise hiredis.ProtocolError("command too long")
         except hiredis.ProtocolError as wrong:  # where the next command starts is lost
             self.closing = True
-            self._reply(b"-ERR " + str(wrong).encode().replace(b"\r\n", b" ") + b"\r\n")
+            self._reply(b"-ERR %b\r\n" % " ".join(str(wrong).split()).encode(errors="replace"))
 
     def _command(self, command: object) -> None:
         if not isinstance(command, list) or not command or not all(isinstance(v, bytes) for v in command):
@@ -204,7 +206,8 @@
             client.close_if_idle()
         await asyncio.sleep(accept_for)
         self.server.close()
-        while self.open:
+        end = self.driver.loop.time() + UNFINISHED_FOR
+        while self.driver.calls or (self.open and self.driver.loop.time() < end):
             for client in list(self.open):
                 client.close_if_idle()
             await asyncio.sleep(0.01)
--- a/saffrongw/config.py
+++ b/saffrongw/config.py
@@ -97,7 +97,7 @@
         sockets=int(raw["limits"]["sockets"]),
         peer_listen=address(raw["peer_listen"]) if peers and raw.get("peer_listen") else None,
         peers=tuple(address(peer) for peer in peers),
-        known=parse_hosts(raw["known"], zones),
+        known=parse_hosts(raw.get("known") or {"seq": 0, "whole": True, "hosts": ()}, zones),
         settings=wire.parse_settings(json.dumps(settings).encode()),
         classes={c["name"].encode(): i for i, c in enumerate(settings["classes"])},
         plans={p["name"].encode(): i for i, p in enumerate(settings["packages"])},
--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -196,7 +196,7 @@
 
     def _handle(self, event: api.Event) -> None:
         try:
-            self._carry_out(self.gateway.handle(self.clock(), event))
+            actions = self.gateway.handle(self.clock(), event)
         except Exception:  # guards against a fault of the decisions taking all held requests with it
             log.exception("the decisions failed on %s", event.topic)
             number = event.token - 1 if isinstance(event, api.TimerFired) else getattr(event, "request", 0)
@@ -205,7 +205,8 @@
                 self._finish(call, FAILED)
                 self.pending.append(api.ClientGone(number))
             # Guards the gossip's own timer, which it sets anew before all else.
-            self._carry_out([a for a in self.gateway.actions if isinstance(a, api.SetTimer)])
+            actions = [action for action in self.gateway.actions if isinstance(action, api.SetTimer)]
+        self._carry_out(actions)
 
     # -- actions --------------------------------------------------------------------------------------------
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -162,6 +162,7 @@
         [b"CALL.PUT", b"0000000000000007", b"id", b"c=read,t=team,d=99,units=1,spread=2,first=0"],
         [b"CALL.GET", b"0000000000000007", b"id"],
         [b"CALL.GET", b"7", b"id", b"c=read,t=team,d=99,units=1,spread=2,first=0"],
+        [b"CALL.GET", b"0x00000000000007", b"id", b"c=read,t=team,d=99,units=1,spread=2,first=0"],
         [b"CALL.GET", b"ffffffffffffffff", b"id", b"c=read,t=team,d=99,units=1,spread=2,first=0"],
         [b"CALL.GET", b"0000000000000007", b"id", b"c=none,t=team,d=99,units=1,spread=2,first=0"],
         [b"CALL.GET", b"0000000000000007", b"id", b"c=read,t=none,d=99,units=1,spread=2,first=0"],
@@ -294,7 +295,8 @@
                 except OSError:
                     await asyncio.sleep(0.02)
 
-    holder, idle = await connect(), await connect()
+    holder, idle, stuck = await connect(), await connect(), await connect()
+    stuck.transport.write(b"*1\r\n$4\r\nPI")  # a command without its end must not hold up the exit
     holder.call(wait=10_000, number=b"held")
     await until(lambda: host.commands)
     process.send_signal(signal.SIGTERM)
@@ -320,3 +322,38 @@
         caller.call()
         await until(lambda: caller.replies)
         assert error(caller.replies.pop()) == line
+
+
+@asyncio_test
+async def test_a_fault_of_the_decisions_does_not_stop_the_gossip():
+    rig = Rig(await FakeHost("a").listen())
+    turns = []
+
+    def turn():
+        turns.append(rig.loop.time())
+        rig.driver.gateway.actions.append(api.SetTimer(1_000, 0))
+        raise RuntimeError("made up")
+
+    rig.driver.gateway._turn = turn
+    await until(lambda: len(turns) == 3)
+
+
+@asyncio_test
+async def test_a_client_that_reads_no_answers_is_not_read_from():
+    rig = Rig(await FakeHost("a").listen())
+    caller = await rig.caller()
+    caller.transport.pause_reading()
+    await until(lambda: rig.clients.open)
+    (client,) = rig.clients.open
+    paused = []
+    pause = client.pause_writing
+    client.transport.set_write_buffer_limits(high=1024)
+    client.pause_writing = lambda: (paused.append(True), pause())
+    pings = 0
+    while not paused and pings < 2_000_000:
+        caller.transport.write(hiredis.pack_command((b"PING",)) * 20_000)
+        pings += 20_000
+        await asyncio.sleep(0)
+    assert paused
+    caller.transport.resume_reading()
+    await caller.replied(pings)
