--- a/saffrongw/config.py
+++ b/saffrongw/config.py
@@ -37,7 +37,6 @@
 class Config:
     """All that the gateway is told at its start."""
 
-    name: str
     listen: Address
     discovery: Address
     seed: int
@@ -90,7 +89,6 @@
     peers = raw.get("peers") or ()
     may = settings["permissions"]
     return Config(
-        name=raw["name"],
         listen=address(raw["listen"]),
         discovery=address(raw["discovery"]),
         seed=int(raw["seed"], 16),
--- a/saffrongw/hosts.py
+++ b/saffrongw/hosts.py
@@ -85,8 +85,8 @@
         attempt = self.attempt
         if attempt and reply is False:
             return
-        if odd or attempt is None:  # an answer to nothing: which one belongs to what is lost
-            self.abort()
+        if odd or attempt is None or not attempt.whole:
+            self.abort()  # an answer to nothing, or before the end: what belongs to what is lost
         else:
             self.attempt = None
             self.pool.ready(self)
