Reload: SIGHUP moves the watch; a wrong file is logged and the old one stays

Cause: __main__.py installed handlers for SIGTERM and SIGINT only; SIGHUP's default ends the process. Mended: the signal reads the file again, the watch drops the old agent at once and fetches the whole list from the new one; an exchange that was begun before the move is not heard. Before the loop runs the signal is ignored.

--- a/saffrongw/__main__.py
+++ b/saffrongw/__main__.py
@@ -8,10 +8,13 @@
 import os
 import signal
 import sys
+from dataclasses import replace
 from pathlib import Path
 
 import uvloop
 
+from orchidlane.wire import WireError
+
 from .clients import Clients
 from .config import Config, parse
 from .discovery import Watch
@@ -19,12 +22,37 @@
 from .hosts import Hosts
 from .peers import Peers
 
+log = logging.getLogger(__name__)
+
 ACCEPT_FOR = 0.5  # seconds after SIGTERM in which new connections are still served
 SPARE = 48  # descriptors for all but clients and hosts: the loop, the watch, peers, logs
 CLIENT_PART = 0.5  # of the descriptors that are left
+UNUSABLE = (
+    OSError,
+    LookupError,
+    ValueError,
+    TypeError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+    WireError,
+)
 
 
-async def serve(config: Config) -> None:
+def reload(path: Path, config: Config, watch: Watch) -> Config:
+    """SIGHUP: read the file again. A wrong one is logged and the old one stays; only the watch can move."""
+    try:
+        new = parse(path.read_text())
+    except UNUSABLE as wrong:
+        log.warning("reload: no usable configuration, the old one stays: %.200r", wrong)
+        return config
+    if replace(new, discovery=config.discovery, known=config.known, seed=config.seed) != config:
+        log.warning("reload: only another address of discovery takes effect before a restart")
+    watch.move(new.discovery)
+    return replace(config, discovery=new.discovery)
+
+
+async def serve(config: Config, path: Path) -> None:
     """Run until SIGTERM or SIGINT."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
@@ -45,7 +73,14 @@
             lambda: Peers(driver, config.peers, config.settings.rank), local_addr=config.peer_listen
         )
     driver.start(config.known)
-    Watch(loop, config.discovery, config.zones, driver.listed).start()
+    watch = Watch(loop, config.discovery, config.zones, driver.listed)
+    watch.start()
+
+    def hang_up() -> None:
+        nonlocal config
+        config = reload(path, config, watch)
+
+    loop.add_signal_handler(signal.SIGHUP, hang_up)
     clients = Clients(driver, config, client_sockets)
     await clients.listen()
     gc.collect()
@@ -57,12 +92,14 @@
 def main() -> int:
     """Read the configuration and serve; one plain line and 1 where it is wrong."""
     logging.basicConfig(level=logging.WARNING, format="%(asctime)s %(levelname)s %(message)s")
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the watch runs there is nothing to move
     try:
-        config = parse(Path(os.environ["LB_CONFIG"]).read_text())
-    except (OSError, KeyError, ValueError, TypeError) as wrong:
+        path = Path(os.environ["LB_CONFIG"])
+        config = parse(path.read_text())
+    except UNUSABLE as wrong:
         print(f"saffrongw: no usable configuration: {wrong!r}", file=sys.stderr)
         return 1
-    uvloop.run(serve(config))
+    uvloop.run(serve(config, path))
     return 0
 
 
--- a/saffrongw/discovery.py
+++ b/saffrongw/discovery.py
@@ -25,6 +25,7 @@
 
     def __init__(self, watch: Watch) -> None:
         self.watch, self.http = watch, h11.Connection(h11.CLIENT)
+        self.address = watch.address
         self.status, self.body = 0, bytearray()
         self.transport: asyncio.Transport | None = None
 
@@ -40,6 +41,8 @@
 
     def data_received(self, data: bytes) -> None:
         """An answer, or a part of it."""
+        if self.watch.exchange is not self:  # given up: nothing that it says counts any more
+            return
         try:
             self.http.receive_data(data)
             while (event := self.http.next_event()) not in (h11.NEED_DATA, h11.PAUSED):
@@ -83,9 +86,11 @@
         self.exchange: Exchange | None = None
         self.silence: asyncio.TimerHandle | None = None
         self.task: asyncio.Task | None = None
+        self.again: asyncio.TimerHandle | None = None  # the next try to connect
 
     def start(self) -> None:
         """Connect and begin."""
+        self.again = None
         self.task = self.loop.create_task(self._connect())
 
     async def _connect(self) -> None:
@@ -97,11 +102,30 @@
                 self._later()
 
     def _later(self) -> None:
-        self.loop.call_later(self.back_off, self.start)
+        self.again = self.loop.call_later(self.back_off, self.start)
         self.back_off = min(BACK_OFF_MOST, 2 * self.back_off)
 
+    def move(self, address: Address) -> None:
+        """A reload names another agent: connect there at once; what the old one still says is not heard."""
+        if address == self.address:
+            return
+        self.address, self.back_off = address, BACK_OFF
+        old, self.exchange = self.exchange, None
+        if self.silence:
+            self.silence.cancel()
+        if old:
+            old.transport.abort()
+        if self.again:
+            self.again.cancel()
+        if self.task:  # it may be on its way to the old address
+            self.task.cancel()
+        self.start()
+
     def connected(self, exchange: Exchange) -> None:
         """A new connection: what changed meanwhile is not known, so the whole list."""
+        if exchange.address != self.address:  # guards against a connection begun before a move
+            exchange.transport.abort()
+            return
         self.exchange = exchange
         self._call(PATH, self.answer_within)
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -314,17 +314,15 @@
     assert error((await caller.replied())[0]).startswith("ERR")
 
 
-@asyncio_test
-async def test_sigterm_finishes_what_is_held_and_serves_new_connections_for_a_while(tmp_path):
-    host = await FakeHost("a").listen()
-    host.script = lambda command: None
+async def started(host: FakeHost, folder, **changes):
+    """The program itself: the process, a way to connect to it, and its configuration's file."""
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         port = probe.getsockname()[1]
     text = {"name": "n0", "listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:1", "seed": "01"}
     known = {"seq": 1, "whole": True, "hosts": [host.line(host=name) for name in "abcdef"]}
-    text |= {"limits": {"sockets": 128}, "known": known, "settings": SITE}
-    file = tmp_path / "config.json"
+    text |= {"limits": {"sockets": 128}, "known": known, "settings": SITE} | changes
+    file = folder / "config.json"
     file.write_text(json.dumps(text))
     process = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "saffrongw", env=os.environ | {"LB_CONFIG": str(file)}
@@ -339,6 +337,45 @@
                 except OSError:
                     await asyncio.sleep(0.02)
 
+    return process, connect, file
+
+
+@asyncio_test
+async def test_sighup_reads_the_file_again_and_keeps_what_is_open(tmp_path):
+    """Without a handler the signal ends the program; a wrong file must leave all as it was."""
+    host = await FakeHost("a").listen()
+    host.script = lambda command: None
+    process, connect, file = await started(host, tmp_path)
+    caller = await connect()
+    caller.call(wait=10_000)
+    await until(lambda: host.commands)
+    text = json.loads(file.read_text())
+    asked = []
+
+    class Agent(asyncio.Protocol):
+        def data_received(self, data: bytes) -> None:
+            asked.append(data)
+
+    server = await asyncio.get_running_loop().create_server(Agent, "127.0.0.1", 0)
+    for wrong in ("{", "[]", json.dumps(text | {"settings": {}}), json.dumps(text | {"discovery": 7})):
+        file.write_text(wrong)
+        process.send_signal(signal.SIGHUP)
+        caller.ask(b"PING")
+        await asyncio.sleep(0.05)
+    file.write_text(json.dumps(text | {"discovery": f"127.0.0.1:{server.sockets[0].getsockname()[1]}"}))
+    process.send_signal(signal.SIGHUP)
+    await until(lambda: asked)
+    host.connections[0].transport.write(b"*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n")
+    assert (await caller.replied(5)) == [b"ok"] + [b"PONG"] * 4
+    process.send_signal(signal.SIGTERM)
+    assert await asyncio.wait_for(process.wait(), 10) == 0
+
+
+@asyncio_test
+async def test_sigterm_finishes_what_is_held_and_serves_new_connections_for_a_while(tmp_path):
+    host = await FakeHost("a").listen()
+    host.script = lambda command: None
+    process, connect, _ = await started(host, tmp_path)
     holder, idle, stuck = await connect(), await connect(), await connect()
     stuck.transport.write(b"*1\r\n$4\r\nPI")  # a command without its end must not hold up the exit
     holder.call(wait=10_000, number=b"held")
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -109,3 +109,35 @@
     else:
         raise AssertionError("a stranger was answered")
     transport.close()
+
+
+@asyncio_test
+async def test_the_watch_moves_to_another_agent_and_no_longer_hears_the_old_one():
+    """A reload: without move() the watch would stay with an agent that is about to close."""
+    loop, told = asyncio.get_running_loop(), []
+    agents = [Agent([{"seq": 5, "whole": True, "hosts": [line(name)]}]) for name in "ab"]
+    servers = [await loop.create_server(lambda agent=agent: agent, "127.0.0.1", 0) for agent in agents]
+    addresses = [server.sockets[0].getsockname()[:2] for server in servers]
+    watch = Watch(loop, addresses[0], ZONES, told.append)
+    watch.start()
+    await until(lambda: len(agents[0].asked) == 2)
+    watch.move(addresses[1])
+    agents[0].transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+    await until(lambda: len(agents[1].asked) == 2)
+    assert [listed.hosts[0].entry.server for listed in told] == [b"a", b"b"]
+    watch.move(addresses[1])  # the same address: nothing to do
+    await asyncio.sleep(0.05)
+    assert agents[1].connections == 1 and agents[0].connections == 1
+
+
+@asyncio_test
+async def test_the_watch_moves_while_it_backs_off_from_an_agent_that_is_down():
+    loop, told, agent = asyncio.get_running_loop(), [], Agent([{"seq": 5, "whole": True, "hosts": []}])
+    server = await loop.create_server(lambda: agent, "127.0.0.1", 0)
+    watch = Watch(loop, ("127.0.0.1", 1), ZONES, told.append)
+    watch.start()
+    await until(lambda: watch.again)
+    watch.move(server.sockets[0].getsockname()[:2])
+    await until(lambda: told)
+    await asyncio.sleep(0.2)
+    assert agent.connections == 1
