Bounds on what clients and hosts send: exact framing, time limits, room by last use, an answer in its exact form or none

Checked with a probe: hiredis waits for 3 GB, allocates 800 MB for '*', raises MemoryError and TypeError.

--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -77,8 +77,8 @@
     def give_up(self, attempt: Attempt) -> None:
         """Stop waiting for an attempt."""
 
-    def told(self, listed: HostList) -> None:
-        """Discovery's list has changed."""
+    def told(self, listed: HostList) -> list[Attempt]:
+        """Discovery's list has changed; the attempts that can't begin any more."""
 
 
 class Clock:
@@ -174,8 +174,10 @@
         kind = api.ListKind.WHOLE if listed.whole else api.ListKind.CHANGES
         if cached:
             kind = api.ListKind.CACHED
-        self.hosts.told(listed)
+        stranded = self.hosts.told(listed)
         self.feed(api.ServerListed(kind, listed.version, tuple(host.entry for host in listed.hosts)))
+        for attempt in stranded:  # only now: where they go next depends on the list
+            self.attempt_ended(attempt, api.Outcome.NOT_CONNECTED)
 
     def peer_said(self, sender: int, body: bytes) -> None:
         """A datagram of another gateway."""
--- a/saffrongw/hosts.py
+++ b/saffrongw/hosts.py
@@ -8,6 +8,8 @@
 
 import asyncio
 import logging
+import re
+import select
 from collections import deque
 
 import hiredis
@@ -16,23 +18,34 @@
 
 from .config import Address, HostList
 from .driver import Attempt, Driver
+from .resp import Answer, AnswerReader, Malformed
 
 log = logging.getLogger(__name__)
 
 IDLE_PART = 0.6  # of the hosts' idle limit: ours are closed clearly earlier, so none meets a closing one
 SWEEPS = 10  # looks at idle connections in that time
+REST = 0.02  # seconds before a connection is used again: what comes behind an answer comes in this time
+REST_WITHIN = 0.5  # seconds for the rest of an answer that has begun
+CLOSING_MOST = 24  # connections closed in this turn of the loop whose descriptors are not free yet
+LOGGED_MOST = 20  # spoilt answers that are logged
+LINES = {b"-ERR failed": api.Outcome.ERROR, b"-BUSY": api.Outcome.FULL}
 MS = 1_000
 
+_FIGURE = rb"[a-z0-9_]{1,32}=[0-9]{1,12}(\.[0-9]{1,9})?"
+_REPORT = re.compile(_FIGURE + rb"(," + _FIGURE + rb"){0,15}")
 
-def parse_report(text: object, names: tuple[str, ...]) -> tuple[float, ...]:
-    """``inflight=7,util=0.61`` in the order of the settings' names; empty where one is missing or odd."""
-    if not isinstance(text, bytes) or not names:
+
+def parse_report(text: bytes | None, names: tuple[bytes, ...]) -> tuple[float, ...]:
+    """``inflight=7,util=0.61`` in the order of the settings' names; empty where it is no such report.
+
+    Only plain figures count: ``float()`` takes ``nan``, ``inf``, ``1_0`` and blanks.
+    """
+    if not text or not names or not _REPORT.fullmatch(text):
         return ()
-    try:
-        values = dict(pair.split("=", 1) for pair in text.decode().split(","))
-        return tuple(float(values[name]) for name in names)
-    except (ValueError, KeyError):
+    values = dict(pair.split(b"=") for pair in text.split(b","))
+    if any(name not in values for name in names):
         return ()
+    return tuple(float(values[name]) for name in names)
 
 
 def pack_request(attempt: Attempt, now: int) -> bytes:
@@ -49,14 +62,17 @@
     def __init__(self, pool: Pool) -> None:
         self.pool = pool
         self.transport: asyncio.Transport | None = None
-        self.reader = hiredis.Reader()
+        self.reader = AnswerReader()
         self.attempt: Attempt | None = None
         self.idle_since = 0.0
         self.counted = False
+        self.poll = select.poll()
+        self.rest: asyncio.TimerHandle | None = None  # ends an answer that has begun and does not go on
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """It is up; with a high-water mark of 0 the loop says when the last byte has left."""
         transport.set_write_buffer_limits(high=0)
+        self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
         self.transport, self.counted = transport, True
         self.pool.ready(self)
 
@@ -76,26 +92,52 @@
 
     def data_received(self, data: bytes) -> None:
         """The answer, or a part of it."""
-        try:
-            self.reader.feed(data)
-            reply = self.reader.gets()
-            odd = reply is not False and self.reader.has_data()
-        except hiredis.ProtocolError:
-            reply, odd = None, True
         attempt = self.attempt
-        if attempt and reply is False:
+        if attempt is None:  # an answer to nothing: what belongs to what is lost
+            self.abort()
+            return
+        self.reader.feed(data)
+        try:
+            answer = self.reader.next()
+            reply = answer and self.pool.hosts.meaning(answer)
+        except Malformed as wrong:
+            self._spoilt(str(wrong))
+            return
+        if answer is None:
+            if self.rest is None:
+                self.rest = self.pool.hosts.loop.call_later(
+                    REST_WITHIN, self._spoilt, "an answer did not end"
+                )
             return
-        if odd or attempt is None or not attempt.whole:
-            self.abort()  # an answer to nothing, or before the end: what belongs to what is lost
+        self._rested()
+        if len(self.reader) or not attempt.whole:
+            self.abort()  # more than belongs to it, or an answer before the end of the request
         else:
             self.attempt = None
-            self.pool.ready(self)
+            self.pool.rest(self)
+        self.pool.hosts.driver.attempt_ended(attempt, *reply)
+
+    def quiet(self) -> bool:
+        """Whether nothing has come that the loop has not shown yet: an end, or more than belongs here."""
+        return not self.poll.poll(0)
+
+    def _spoilt(self, why: str) -> None:
+        """What came is no answer, and the connection is of no further use; the request may have run."""
+        attempt = self.attempt
+        self.abort()
         if attempt:
-            self.pool.hosts.replied(attempt, reply)
+            self.pool.hosts.spoilt(attempt, why)
+
+    def _rested(self) -> None:
+        if self.rest:
+            self.rest.cancel()
+            self.rest = None
 
     def connection_lost(self, error: Exception | None) -> None:
         """The host closed it or the network broke it."""
         self._count_out()
+        self._rested()
+        self.pool.hosts.closing.discard(self)
         attempt, self.attempt = self.attempt, None
         if attempt:
             # Guards rule 2: a reset may come after the host ran it, unless the last byte never left.
@@ -105,7 +147,10 @@
     def abort(self) -> None:
         """Close at once; the attempt on it is told by whoever gave it up."""
         self.attempt = None
+        self._rested()
         self._count_out()
+        if not self.transport.is_closing():
+            self.pool.hosts.closing.add(self)  # its descriptor is free once the loop has closed it
         self.transport.abort()
 
     def _count_out(self) -> None:
@@ -119,20 +164,30 @@
 class Pool:
     """The connections to one host; the one used last is used first, so that surplus ones grow idle."""
 
-    def __init__(self, hosts: Hosts, address: Address) -> None:
-        self.hosts, self.address = hosts, address
+    def __init__(self, hosts: Hosts, address: Address, born: int) -> None:
+        self.hosts, self.address, self.born = hosts, address, born
         self.idle: list[Connection] = []
         self.opening: set[asyncio.Task] = set()
         self.waiting: deque[Attempt] = deque()
         self.retired = False
 
     def send(self, attempt: Attempt) -> None:
-        """Use an idle connection, or open one."""
-        while self.idle:
-            connection = self.idle.pop()
-            if not connection.transport.is_closing():
+        """Use an idle connection, or open one.
+
+        A second copy of an answer may come when its connection carries the next request, and nothing tells
+        it apart. So one that has just answered rests first, and must be quiet when it is used. (A command
+        with an answer of its own in between would do more, but hosts close after it.)
+        """
+        rested = self.hosts.loop.time() - REST
+        for place in range(len(self.idle) - 1, -1, -1):
+            connection = self.idle[place]
+            if connection.idle_since > rested:
+                continue
+            if connection.quiet() and not connection.transport.is_closing():
+                del self.idle[place]
                 connection.begin(attempt, self.hosts.driver.clock())
                 return
+            connection.abort()
         if not self.hosts.make_room():
             self.hosts.driver.attempt_ended(attempt, api.Outcome.NOT_CONNECTED)
             return
@@ -156,10 +211,15 @@
                     self.hosts.driver.attempt_ended(self.waiting.popleft(), api.Outcome.NOT_CONNECTED)
 
     def ready(self, connection: Connection) -> None:
-        """It is up or free again: the next attempt that waits takes it, else it is idle."""
+        """It is up: the attempt that waits longest takes it."""
         if self.waiting:
             connection.begin(self.waiting.popleft(), self.hosts.driver.clock())
-        elif self.retired:
+        else:
+            self.rest(connection)
+
+    def rest(self, connection: Connection) -> None:
+        """It is free again."""
+        if self.retired:
             connection.abort()
         else:
             connection.idle_since = self.hosts.loop.time()
@@ -170,10 +230,17 @@
         while self.idle and self.idle[0].idle_since <= before:
             self.idle[0].abort()
 
-    def retire(self) -> None:
-        """Nothing more is sent there: what is out may end."""
+    def retire(self) -> list[Attempt]:
+        """Nothing more is sent there: what is out may end; what waited for a connection, and never ran.
+
+        Guards a host that takes over the address of a gone one, or its id after a restart: what was meant for
+        the old life must not reach the new one.
+        """
         self.retired = True
         self.close_idle(float("inf"))
+        stranded = list(self.waiting)
+        self.waiting.clear()
+        return stranded
 
 
 class Hosts:
@@ -187,26 +254,34 @@
         idle_close: float,
         connect_timeout: float,
     ) -> None:
-        self.driver, self.loop, self.report_names = driver, driver.loop, report_names
+        self.driver, self.loop = driver, driver.loop
+        self.report_names = tuple(name.encode() for name in report_names)
         self.most, self.connect_timeout = sockets, connect_timeout
         self.keep_idle = IDLE_PART * idle_close
         self.sockets = 0  # open or opening
+        self.closing: set[Connection] = set()
+        self.logged = 0
         self.pools: dict[api.Server, Pool] = {}
         self._sweep()
 
-    def told(self, listed: HostList) -> None:
-        """Follow discovery: idle connections to hosts that are gone or moved are closed."""
+    def told(self, listed: HostList) -> list[Attempt]:
+        """Follow discovery: idle connections to hosts that are gone or moved are closed. The attempts that
+        waited for one are given back."""
+        stranded = []
         if listed.whole:
             named = {host.entry.server for host in listed.hosts}
             for server in [server for server in self.pools if server not in named]:
-                self.pools.pop(server).retire()
+                stranded += self.pools.pop(server).retire()
         for host in listed.hosts:
-            pool = self.pools.get(host.entry.server)
-            gone = host.entry.phase is api.Phase.GONE
-            if pool and (gone or pool.address != host.address):
-                self.pools.pop(host.entry.server).retire()
-            if not gone and host.entry.server not in self.pools:
-                self.pools[host.entry.server] = Pool(self, host.address)
+            entry, pool = host.entry, self.pools.get(host.entry.server)
+            gone = entry.phase is api.Phase.GONE
+            if pool and (gone or pool.address != host.address or entry.launched > pool.born):
+                stranded += self.pools.pop(entry.server).retire()
+            if not gone and entry.server not in self.pools:
+                self.pools[entry.server] = Pool(self, host.address, entry.launched)
+            if entry.phase is api.Phase.DRAINING:
+                self.pools[entry.server].close_idle(float("inf"))
+        return stranded
 
     def send(self, attempt: Attempt) -> None:
         """Begin an attempt."""
@@ -222,18 +297,26 @@
         elif isinstance(attempt.link, Pool) and attempt in attempt.link.waiting:
             attempt.link.waiting.remove(attempt)
 
-    def replied(self, attempt: Attempt, reply: object) -> None:
-        """Translate a host's answer."""
-        ended = self.driver.attempt_ended
-        if isinstance(reply, list) and reply and isinstance(reply[0], bytes):
-            report = parse_report(reply[2] if len(reply) > 2 else None, self.report_names)
-            ended(attempt, api.Outcome.SERVED, b"$%d\r\n%b\r\n" % (len(reply[0]), reply[0]), report)
-            return
-        line = str(reply).split(" ") if isinstance(reply, hiredis.ReplyError) else [""]
-        if line[0] == "BUSY":
-            ended(attempt, api.Outcome.FULL)
-            return
-        ended(attempt, api.Outcome.ERROR, None, parse_report(line[-1].encode(), self.report_names))
+    def meaning(self, answer: Answer) -> tuple[api.Outcome, bytes | None, tuple[float, ...]]:
+        """A host's answer as outcome, value and report: only the exact forms mean something."""
+        if (line := answer.line) is None:
+            value, report = answer.value, parse_report(answer.report, self.report_names)
+            return api.Outcome.SERVED, b"$%d\r\n%b\r\n" % (len(value), value), report
+        for known, outcome in LINES.items():
+            if line == known:
+                return outcome, None, ()
+            if line.startswith(known + b" "):
+                if report := parse_report(line[len(known) + 1 :], self.report_names):
+                    return outcome, None, report
+                break
+        raise Malformed("an unknown line")
+
+    def spoilt(self, attempt: Attempt, why: str) -> None:
+        """An answer that can't be believed: the attempt has failed and may have run."""
+        if self.logged < LOGGED_MOST:
+            self.logged += 1
+            log.warning("spoilt answer of %s: %s", attempt.server.decode(errors="replace"), why)
+        self.driver.attempt_ended(attempt, api.Outcome.BROKEN)
 
     def make_room(self) -> bool:
         """Whether one more connection may be opened; if need be the one longest idle makes room."""
@@ -243,7 +326,7 @@
             )
             if oldest:
                 oldest.idle[0].abort()
-        return self.sockets < self.most
+        return self.sockets < self.most and len(self.closing) < CLOSING_MOST
 
     def _sweep(self) -> None:
         """Guards against a request meeting a connection that its host is closing as idle."""
--- /dev/null
+++ b/saffrongw/resp.py
@@ -0,0 +1,130 @@
+"""Framing of RESP2 in both directions, exact and bounded: only what the protocol names is taken.
+
+hiredis is not used to read: it allocates what a header claims (``*100000000`` takes 800 MB), waits for 3 GB,
+accepts RESP3 and raises MemoryError or TypeError on some of it.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+
+VALUE_MOST = 64 * 1024  # bytes in one value
+WORD_MOST = 1024  # bytes in any other part of a command or an answer
+LINE_MOST = 512  # bytes in an error line
+WORDS_MOST = 5  # parts of a command; only the fifth holds a value
+
+_COUNT = re.compile(rb"\*([1-9])\r\n")
+_LENGTH = re.compile(rb"\$(0|[1-9][0-9]{0,4})\r\n")
+_LENGTH_OR_NULL = re.compile(rb"\$(-1|0|[1-9][0-9]{0,4})\r\n")
+_COUNT_BEGUN = re.compile(rb"(\*([1-9]\r?)?)?")
+_LENGTH_BEGUN = re.compile(rb"(\$((-|-1|0|[1-9][0-9]{0,4})\r?)?)?")
+_HEADER_MOST = 10  # bytes of the longest header that these take
+
+
+class Malformed(Exception):
+    """Bytes that no whole message of the protocol can begin with: where the next one starts is lost."""
+
+
+class _Buffer:
+    """Bytes that have come and were not yet taken."""
+
+    __slots__ = ("at", "data")
+
+    def __init__(self) -> None:
+        self.data, self.at = b"", 0
+
+    def feed(self, data: bytes) -> None:
+        """More bytes; what was taken is let go."""
+        self.data, self.at = (self.data[self.at :] + data if self.at < len(self.data) else data), 0
+
+    def __len__(self) -> int:
+        return len(self.data) - self.at
+
+    def _header(self, form: re.Pattern, begun: re.Pattern, at: int) -> re.Match | None:
+        """A header at this place; None where it is not whole yet."""
+        if found := form.match(self.data, at):
+            return found
+        if begun.fullmatch(self.data[at : at + _HEADER_MOST]):
+            return None
+        raise Malformed("not a header of the protocol")
+
+    def _bulk(self, at: int, most: int, null: bool = False) -> tuple[bytes | None, int] | None:
+        """A bulk string and where it ends; None where it is not whole yet."""
+        found = self._header(_LENGTH_OR_NULL if null else _LENGTH, _LENGTH_BEGUN, at)
+        if found is None:
+            return None
+        length, start = int(found[1]), found.end()
+        if length < 0:
+            return None, start
+        if length > most:
+            raise Malformed("a value is too long")
+        end = start + length
+        tail = self.data[end : end + 2]
+        if not b"\r\n".startswith(tail):
+            raise Malformed("a length does not fit")
+        return (self.data[start:end], end + 2) if len(tail) == 2 else None
+
+
+class CommandReader(_Buffer):
+    """Commands as clients send them: arrays of up to five bulk strings."""
+
+    __slots__ = ()
+
+    def next(self) -> list[bytes] | None:
+        """The next whole command; None where there is none yet."""
+        head = self._header(_COUNT, _COUNT_BEGUN, self.at)
+        if head is None:
+            return None
+        words, at, number = [], head.end(), int(head[1])
+        if number > WORDS_MOST:
+            raise Malformed("wrong number of values")
+        for place in range(1, number + 1):
+            bulk = self._bulk(at, VALUE_MOST if place == WORDS_MOST else WORD_MOST)
+            if bulk is None:
+                return None
+            words.append(bulk[0])
+            at = bulk[1]
+        self.at = at
+        return words
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What a host answered: a line, or a value with the figures on use and the load report."""
+
+    line: bytes | None = None
+    value: bytes = b""
+    report: bytes | None = None
+
+
+class AnswerReader(_Buffer):
+    """A host's answers, one at a time."""
+
+    __slots__ = ()
+
+    def next(self) -> Answer | None:
+        """The next answer, if it is whole."""
+        kind = self.data[self.at : self.at + 1]
+        if kind in (b"-", b"+"):
+            end = self.data.find(b"\r\n", self.at, self.at + LINE_MOST)
+            if end < 0:
+                if len(self) >= LINE_MOST:
+                    raise Malformed("a line is too long")
+                return None
+            line, self.at = self.data[self.at : end], end + 2
+            return Answer(line)
+        head = self._header(_COUNT, _COUNT_BEGUN, self.at)
+        if head is None:
+            return None
+        if head[1] != b"3":
+            raise Malformed("an answer has three parts")
+        at, parts = head.end(), []
+        for place in range(3):
+            bulk = self._bulk(at, WORD_MOST if place else VALUE_MOST, null=place > 0)
+            if bulk is None:
+                return None
+            parts.append(bulk[0])
+            at = bulk[1]
+        self.at = at
+        return Answer(None, parts[0], parts[2])
