One spoilt answer is no failing host; approvals share messages when they come faster than a gateway may send

Cause 1: rules._learn counted an answer that was broken like a dead host: 'fails' + 1 makes it look four times slower for seconds, and _advance refuses where the expected time exceeds _patience. Now approvals that come faster share a message to their keeper and 4 messages stay for answers.

--- /dev/null
+++ b/orchidlane/counts.py
@@ -0,0 +1,286 @@
+"""The counts of customers' quotas and ceilings, and the gossip that spreads them; see docs/design.md.
+
+The policy's second half: ``rules.py`` asks it whether a customer has room and tells it what was spent.
+"""
+
+from __future__ import annotations
+
+import random
+from itertools import islice
+
+from . import interface as api
+from . import messages
+from .state import Account, Memory
+
+MS, SECOND = 1_000, 1_000_000  # microseconds
+
+INTAKE_SHARE, RESERVE = (
+    0.8,
+    4,
+)  # of the intake that every gateway may send: the rest is for jitter / messages kept for answers
+INTERVAL = 300 * MS  # between two gossip turns: what is pressing does not wait for them
+FAN = 12  # gateways told at once: the rest of a larger set is told by them, each has a part of it
+NEWS_MOST = 3  # counts in a row; older ones are within its total
+LOOK_AT, IDLE_LOOKS = 32, 3  # customers looked at for one message / for being idle, to bound the work
+LATE_MOST = 5 * SECOND  # a message that took longer, or comes from so far ahead, is not believed
+CLOSE, REOPEN = 0.25, 0.6  # of the burst: with less room a customer is refused, until so much is back
+ANSWER_WITHIN = 200 * MS  # a keeper not heard for so long is asked to answer as soon; else the next is told
+KEEPER_STRIDE = 2_654_435_761  # spreads customers over the gateways of their sets
+KEEPERS = 3  # gateways of a set that are tried
+HEAR = 0.1  # weight of the newest answer or silence in the part of the fleet that is unheard
+UNHEARD_LEAST = 0.25  # below it silence is what loss and restarts explain
+KEEP_IDLE = 10 * SECOND  # a customer with a ceiling is remembered so long: a new one's part starts empty
+TURN, ASKED, PUSH = 0, 1 << 40, 2 << 40  # tokens of timers: gossip, answers due, keepers; a request's: id + 1
+
+
+class Counts(Memory):
+    """What a gateway knows of its customers' use, and what it tells the others."""
+
+    def __init__(self, settings: api.Settings, seed: int, now: int) -> None:
+        super().__init__()
+        self.s, self.random, self.now, self.filled = settings, random.Random(seed), now, now
+        self.rank, self.alone = settings.rank, not settings.may_tell_peers
+        self.unheard = 0.0
+        self.allowance = self.per_second = INTAKE_SHARE * settings.peer_intake
+
+    # -- counts -------------------------------------------------------------------------------------------
+
+    def _account(self, customer: int, plan: int, first: int, size: int, trusted: bool) -> Account:
+        account, key = self.accounts.get(customer), (plan, first, max(1, min(size, self.s.gateways)))
+        if account is None:
+            account = Account(customer, key, self.s.plans[plan].burst, self.now, used=self.now)
+            account.fresh = key[2] > 1 and not self.alone  # else there is nobody to tell of it
+            self.accounts[customer] = account
+            self.idle_queue.append(customer)
+        elif trusted:  # a request goes before a peer
+            account.key = key
+        return account
+
+    def _lift(self, account: Account) -> None:
+        """Raise the limit by the time gone; room stays within the burst."""
+        plan, span, account.risen = self.s.plans[account.plan], self.now - account.risen, self.now
+        part = self._ceiling_part(account)
+        gained = plan.ceiling_rate * part * span / SECOND
+        account.ceiling = min(plan.ceiling_burst * part, account.ceiling + gained)
+        unheard = 1.0 if self.alone else self.unheard
+        share = 1 - unheard * (account.size - 1) / account.size if unheard >= UNHEARD_LEAST else 1.0
+        burst = plan.burst * share  # what unheard gateways may spend is left to them
+        # Debt: what went beyond the quota took nothing from the true store, so the limit never lies below.
+        limit = max(account.total, account.limit + plan.rate * share * span / SECOND)
+        account.limit = min(limit, account.total + burst)
+        account.closed = account.room < (REOPEN if account.closed else CLOSE) * burst
+
+    def _ceiling_part(self, account: Account) -> float:
+        """Rule 5: each gateway alone fills its part of the ceiling's store, from nothing at its start. Half
+        is the first keeper's, who gives of it what others want: it takes that off before it tells them."""
+        return (1 + account.size * (self._keeper(account) == self.rank)) / (2 * account.size)
+
+    def _spend(self, account: Account, units: float) -> None:
+        account.used = self.now
+        start, value = account.counts.get(self.rank, (self.now // MS // messages.TICK, 0.0))
+        account.total += self._count(account, self.rank, start, value + units)
+        account.ceiling -= units if self.s.plans[account.plan].ceiling_rate else 0.0
+        if account.size > 1 and not self.alone:
+            self.changed[account.customer] = None
+            self._tell_keeper(account, 0)
+
+    def _count(self, account: Account, rank: int, start: int, value: float) -> float:
+        """Newer start, then larger value; what was spent in an earlier life stays spent. The growth."""
+        known = account.counts.get(rank, (-1, 0.0))
+        if (start, value) <= known:
+            return 0.0
+        account.counts[rank] = start, value
+        account.news = (*(r for r in account.news if r != rank), rank)[-NEWS_MOST:]
+        growth = value - known[1] if start == known[0] else value
+        account.spent += growth
+        return growth
+
+    # -- gossip -------------------------------------------------------------------------------------------
+
+    def _keeper(self, account: Account, number: int = 0) -> int:
+        return self._member(account, (account.customer * KEEPER_STRIDE >> 16) + number)
+
+    def _member(self, account: Account, place: int) -> int:
+        return (account.first + place % account.size) % self.s.gateways
+
+    def _tell_keeper(self, account: Account, number: int) -> None:
+        """Every approval is told to one gateway of the set, which adds them up; the next one stands in."""
+        rank = self._keeper(account, number)
+        if number >= min(KEEPERS, account.size):
+            account.fresh = False  # nobody answers: the part of those unheard is left to them instead
+            return
+        if rank != self.rank:
+            self.due.setdefault(rank, {})[account.customer] = number
+            self._push(rank)
+        elif account.fresh:
+            self._tell_keeper(account, number + 1)
+        else:
+            self._keep(account)
+
+    def _push(self, rank: int) -> None:
+        """All that is due to a keeper, as far as one message holds it: an approval leaves at once while there
+        are messages left to send; when they come faster, they share one. Some are left for answers."""
+        due = self.due[rank]
+        if self._allowed() < RESERVE + 1:
+            if not self.pushing:
+                self.pushing = True
+                wait = (RESERVE + 1 - self.allowance) / self.per_second
+                self.actions.append(api.SetTimer(int(wait * SECOND) + MS, PUSH))
+            return
+        accounts = [self.accounts[customer] for customer in due if customer in self.accounts]
+        asks = self.now - self.heard.get(rank, 0) > ANSWER_WITHIN
+        rows = messages.fit(self._row_for_keeper(account) for account in accounts)
+        told = [(account.customer, due.pop(account.customer)) for account in accounts[: len(rows)]]
+        asks |= any(account.fresh or account.asked for account in accounts[: len(rows)])
+        if len(rows) == len(accounts):
+            del self.due[rank]
+        if rows:
+            self._tell(rank, rows, told if asks else None, keep=True)
+
+    def _push_due(self) -> None:
+        """There are messages to send again: the keeper that most is due to comes first."""
+        self.pushing = False
+        for rank in sorted(self.due, key=lambda rank: -len(self.due[rank])):
+            self._push(rank)
+
+    def _row_for_keeper(self, account: Account) -> bytes:
+        self._lift(account)
+        most = self.s.plans[account.plan].ceiling_burst * self._ceiling_part(account)
+        account.asked = max(0.0, most - account.ceiling)
+        return self._row(account, 0, account.asked)
+
+    def _answer_due(self) -> None:
+        """Guards against cuts and dead keepers: no answer in time is told to the next keeper."""
+        at, rank, told = self.asked.popleft()
+        if self.now - at > 2 * ANSWER_WITHIN:  # we stood still ourselves: nothing is known of the other
+            return
+        silent = self.heard.get(rank, -1) < at
+        self.unheard += HEAR * (silent - self.unheard)
+        for customer, number in told if silent else ():
+            if account := self.accounts.get(customer):
+                self._tell_keeper(account, number + 1)
+
+    def _keep(self, account: Account) -> None:
+        """A customer was fast, its room is low: its set is told at once, and again if some miss it."""
+        plan = self.s.plans[account.plan]
+        if account.closed and plan.rate * (self.now - account.spread) > CLOSE * plan.burst * SECOND:
+            account.spread = self.now
+            self._hand_on(account, account.size - 1)
+
+    def _hand_on(self, account: Account, reach: int) -> None:
+        """Tell the next so many of the set: a few of them, each handing on to a part of the rest."""
+        place = self._place(self.rank, account.first)
+        step = -(-reach // FAN)
+        done, part = 0, 1 + self.random.randrange(step) if reach else 0
+        while done < reach:
+            part = min(part, reach - done)
+            self._tell(self._member(account, place + 1 + done), [self._row(account, part - 1)])
+            done, part = done + part, step
+
+    def _turn(self) -> None:
+        """The pending changes that concern one random peer, those of the fastest customers first."""
+        self.actions.append(api.SetTimer(INTERVAL, TURN))
+        self._drop_idle()
+        for customer in [c for c in islice(self.changed, LOOK_AT) if self.accounts[c].size < 2]:
+            del self.changed[customer]  # a request may have told that its set is smaller by now
+        if not self.changed:
+            return
+        account = self.accounts[next(iter(self.changed))]
+        place = self._place(self.rank, account.first)
+        rank = self._member(account, place + 1 + self.random.randrange(account.size - 1))
+        looked = [self.accounts[customer] for customer in islice(self.changed, LOOK_AT)]
+        shared = [a for a in looked if self._place(rank, a.first) < a.size]
+        shared.sort(key=lambda a: a.room / (self.s.plans[a.plan].burst or 1.0))
+        rows = messages.fit(self._row(a, 0) for a in shared)
+        if self._tell(rank, rows, []):
+            for told in shared[: len(rows)]:
+                del self.changed[told.customer]
+
+    def _place(self, rank: int, first: int) -> int:
+        return (rank - first) % self.s.gateways
+
+    def _allowed(self) -> float:
+        """How many messages may be sent now: all that one gateway sends stays below what one takes in."""
+        gained = self.per_second * (self.now - self.filled) / SECOND
+        self.allowance, self.filled = min(self.per_second, self.allowance + gained), self.now
+        return self.allowance
+
+    def _tell(self, rank: int, rows: list[bytes], told: list | None = None, keep: bool = False) -> bool:
+        """Every message passes here; told is not None where an answer is asked for."""
+        if self._allowed() < 1:
+            return False
+        self.allowance -= 1
+        if told is not None:
+            self.asked.append((self.now, rank, told))
+            self.actions.append(api.SetTimer(ANSWER_WITHIN, ASKED))
+        body = messages.pack(self.now // MS, told is not None, keep, rows)
+        self.actions.append(api.TellPeer(rank, body))
+        return True
+
+    def _row(self, account: Account, reach: int, rights: float = 0.0) -> bytes:
+        self._lift(account)
+        counts = tuple((rank, *account.counts[rank]) for rank in account.news)
+        row = messages.Row(account.customer, *account.key, reach, account.room, account.total, rights, counts)
+        return messages.pack_row(row, self.now // MS, self.s.gateways)
+
+    def _peer_message(self, event: api.PeerMessage) -> None:
+        message = messages.unpack(event.body, self.now // MS, self.s.gateways, len(self.s.plans))
+        age = self.now - message.sent * MS if message else LATE_MOST
+        if self.alone or not 0 <= event.sender < self.s.gateways or abs(age) >= LATE_MOST:
+            return
+        self.heard[event.sender] = self.now
+        merged = []
+        for row in message.rows:
+            if self._place(self.rank, row.set_first) < row.set_size:
+                account = self._merge(row, event.sender, max(0, age), message.keep)
+                merged.append((account, row.rights if message.keep else 0.0))
+                self._hand_on(account, min(row.reach, account.size - 1))
+                if message.keep:
+                    self._keep(account)
+        if message.ask:
+            rows = (self._row(account, 0, self._give(account, wanted)) for account, wanted in merged)
+            self._tell(event.sender, messages.fit(rows))
+
+    def _give(self, account: Account, wanted: float) -> float:
+        """Rights of a ceiling, off our part before they are told, so that loss is safe."""
+        given = min(account.ceiling, wanted) if self._keeper(account) == self.rank else 0.0
+        account.ceiling -= given
+        return given
+
+    def _merge(self, row: messages.Row, sender: int, age: int, keep: bool) -> Account:
+        """Newer start, then larger value; the larger limit."""
+        account = self._account(row.customer, row.plan, row.set_first, row.set_size, trusted=False)
+        account.fresh, plan = False, self.s.plans[account.plan]
+        self._lift(account)
+        told, given = 0.0, 0.0 if keep else min(row.rights, account.asked)
+        account.ceiling, account.asked = account.ceiling + given, account.asked - given
+        for rank, start, value in row.counts:
+            if rank != self.rank:  # our own count is ours; an earlier life's is within the total
+                grown = self._count(account, rank, start, value)
+                told += grown * (rank == sender and keep)
+                if grown:
+                    account.others = (*account.others, self.now)[-max(1, plan.open) :]
+        if told:  # what is spread reaches all without
+            self.changed[account.customer] = None
+        # The total tells of counts that did not fit or were lost, so that a gateway that missed them knows.
+        account.total = max(account.total + told, account.spent, row.total)
+        account.limit = max(account.limit, row.total + row.room + plan.rate * age / SECOND)
+        self._lift(account)
+        return account
+
+    def _drop_idle(self) -> None:
+        """Full and idle accounts say nothing: forgotten a few at a time, one-off customers cost no memory."""
+        for _ in range(min(IDLE_LOOKS, len(self.idle_queue))):
+            customer = self.idle_queue.popleft()
+            self._lift(account := self.accounts[customer])
+            plan = self.s.plans[account.plan]
+            # Where no other gateway has told of it, its room here is not all that was spent: in the time that
+            # fills a quota anew, what is forgotten can't grant more than the quota itself.
+            rest = plan.burst / plan.rate * SECOND if plan.rate and account.fresh else 0.0
+            rest = max(rest, KEEP_IDLE if plan.ceiling_rate else 0.0)
+            full = account.room >= plan.burst and self.now - account.used >= rest
+            if account.out or not full:
+                self.idle_queue.append(customer)
+                continue
+            del self.accounts[customer]
+            self.changed.pop(customer, None)
--- a/orchidlane/state.py
+++ b/orchidlane/state.py
@@ -27,6 +27,7 @@
     spread: int = 0  # when its set was last told
     ceiling: float = 0.0  # units that its ceiling lets us send
     asked: float = 0.0  # rights asked for and not yet given
+    used: int = 0  # when it was last let in
     closed: bool = False  # it was fast and spent nearly all: refused until a good part is back
 
     @property
@@ -149,7 +150,9 @@
         self.idle_queue: deque[int] = deque()  # customers, in the order of their next look
         self.changed: dict[int, None] = {}  # customers whose counts changed since they were told
         self.heard: dict[int, int] = {}  # rank -> when it was last heard
-        self.asked: deque[tuple[int, int, int, int]] = deque()  # when, rank, customer, which keeper
+        self.due: dict[int, dict[int, int]] = {}  # keeper's rank -> customers, which of their keepers it is
+        self.pushing = False  # a timer for what is due is set
+        self.asked: deque[tuple[int, int, list]] = deque()  # when, rank, customers and which of their keepers
         self.hosts: dict[api.Server, Host] = {}
         self.met = Known(0)  # by all servers together
         self.zones_met: dict[int, Known] = {}  # by those of one zone
@@ -181,11 +184,18 @@
         if event.kind is not api.ListKind.CHANGES:
             told = {entry.server for entry in event.entries}
             for server in [s for s in self.hosts if s not in told]:
-                self._take_out(self.hosts[server])
-                self.hosts[server].entry = replace(self.hosts[server].entry, phase=api.Phase.GONE)
+                self._forget(self.hosts[server])
         fresh = []
         for entry in event.entries:
             host = self.hosts.get(entry.server)
+            if entry.phase is api.Phase.GONE:
+                if host is not None:
+                    self._forget(host)
+                continue
+            if (
+                entry.launched > now
+            ):  # guards against a start to come, which would keep the server cold for good
+                entry = replace(entry, launched=now)
             anew = host is None or entry.launched > host.entry.launched
             was_ready = host is not None and host.entry.phase is api.Phase.READY
             if host is not None and (anew or entry.phase is not api.Phase.READY):
@@ -200,6 +210,13 @@
                 fresh.append(host)
         return fresh
 
+    def _forget(self, host: Host) -> None:
+        """A server that is gone: what is still out at it keeps its record until it ends."""
+        self._take_out(host)
+        host.entry = replace(host.entry, phase=api.Phase.GONE)
+        del self.hosts[host.entry.server]
+        self.warming = deque(other for other in self.warming if other is not host)
+
     def warm_first(self) -> None:
         """The server that was listed first joins the warm ones, if it still runs."""
         host = self.warming.popleft()
@@ -212,9 +229,14 @@
         if group is api.Group.ALL:
             return self.warm.hosts
         pools = self.cells if group is api.Group.CELL else self.zones
-        return pools[host.shares(group)].hosts
+        pool = pools.get(host.shares(group))
+        return pool.hosts if pool else []
 
     def _take_out(self, host: Host) -> None:
-        for pool in (self.warm, self.cold, self.cells.get(host.entry.cell), self.zones.get(host.entry.zone)):
-            if pool is not None:
+        self.warm.remove(host.entry.server)
+        self.cold.remove(host.entry.server)
+        for pools, place in ((self.cells, host.entry.cell), (self.zones, host.entry.zone)):
+            if pool := pools.get(place):
                 pool.remove(host.entry.server)
+                if not pool.hosts:  # cells are ever new where servers are replaced
+                    del pools[place]
--- a/saffrongw/hosts.py
+++ b/saffrongw/hosts.py
@@ -312,11 +312,11 @@
         raise Malformed("an unknown line")
 
     def spoilt(self, attempt: Attempt, why: str) -> None:
-        """An answer that can't be believed: the attempt has failed and may have run."""
+        """An answer that can't be believed: the attempt has failed and may have run, its host answers."""
         if self.logged < LOGGED_MOST:
             self.logged += 1
             log.warning("spoilt answer of %s: %s", attempt.server.decode(errors="replace"), why)
-        self.driver.attempt_ended(attempt, api.Outcome.BROKEN)
+        self.driver.attempt_ended(attempt, api.Outcome.ERROR)
 
     def make_room(self) -> bool:
         """Whether one more connection may be opened; if need be the one longest idle makes room."""
