Tests of what was mended in the decisions; discovery noticed silent after 3 s and bounded; the log is bounded

Seen by reading: discovery.py waited 20 s for news and 2 s more before it gave a silent agent up, and kept a body of any size; config.py took any born_ms; logging had no bound where a fault repeats. A call waits 2 s now, 1 s beyond it at most, a body holds 1 MiB, born_ms is a time, the log 50 lines in 10 s.

--- a/orchidlane/counts.py
+++ b/orchidlane/counts.py
@@ -62,14 +62,18 @@
         part = self._ceiling_part(account)
         gained = plan.ceiling_rate * part * span / SECOND
         account.ceiling = min(plan.ceiling_burst * part, account.ceiling + gained)
-        unheard = 1.0 if self.alone else self.unheard
-        share = 1 - unheard * (account.size - 1) / account.size if unheard >= UNHEARD_LEAST else 1.0
-        burst = plan.burst * share  # what unheard gateways may spend is left to them
+        share = self._share(account)
+        burst = plan.burst * share
         # Debt: what went beyond the quota took nothing from the true store, so the limit never lies below.
         limit = max(account.total, account.limit + plan.rate * share * span / SECOND)
         account.limit = min(limit, account.total + burst)
         account.closed = account.room < (REOPEN if account.closed else CLOSE) * burst
 
+    def _share(self, account: Account) -> float:
+        """The part of the quota that is ours to grant: what unheard gateways may spend is left to them."""
+        unheard = 1.0 if self.alone else self.unheard
+        return 1 - unheard * (account.size - 1) / account.size if unheard >= UNHEARD_LEAST else 1.0
+
     def _ceiling_part(self, account: Account) -> float:
         """Rule 5: each gateway alone fills its part of the ceiling's store, from nothing at its start. Half
         is the first keeper's, who gives of it what others want: it takes that off before it tells them."""
@@ -276,9 +280,10 @@
             plan = self.s.plans[account.plan]
             # Where no other gateway has told of it, its room here is not all that was spent: in the time that
             # fills a quota anew, what is forgotten can't grant more than the quota itself.
-            rest = plan.burst / plan.rate * SECOND if plan.rate and account.fresh else 0.0
+            share = self._share(account)
+            rest = plan.burst / plan.rate * SECOND if plan.rate and (account.fresh or share < 1) else 0.0
             rest = max(rest, KEEP_IDLE if plan.ceiling_rate else 0.0)
-            full = account.room >= plan.burst and self.now - account.used >= rest
+            full = account.room >= plan.burst * share and self.now - account.used >= rest
             if account.out or not full:
                 self.idle_queue.append(customer)
                 continue
--- a/saffrongw/__main__.py
+++ b/saffrongw/__main__.py
@@ -27,6 +27,7 @@
 ACCEPT_FOR = 0.5  # seconds after SIGTERM in which new connections are still served
 SPARE = 48  # descriptors for all but clients and hosts: the loop, the watch, peers, logs
 CLIENT_PART = 0.5  # of the descriptors that are left
+LOG_SPAN, LOG_MOST = 10.0, 50  # seconds / lines logged in that time
 UNUSABLE = (
     OSError,
     LookupError,
@@ -39,6 +40,23 @@
 )
 
 
+class Bounded(logging.Filter):
+    """Guards against a log that grows with what goes wrong: so many lines in a span, the rest are counted."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.began, self.lines = 0.0, 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Whether this line is written."""
+        if record.created - self.began > LOG_SPAN:
+            if self.lines > LOG_MOST:
+                record.msg = f"({self.lines - LOG_MOST} lines left out before) {record.msg}"
+            self.began, self.lines = record.created, 0
+        self.lines += 1
+        return self.lines <= LOG_MOST
+
+
 def reload(path: Path, config: Config, watch: Watch) -> Config:
     """SIGHUP: read the file again. A wrong one is logged and the old one stays; only the watch can move."""
     try:
@@ -92,6 +110,7 @@
 def main() -> int:
     """Read the configuration and serve; one plain line and 1 where it is wrong."""
     logging.basicConfig(level=logging.WARNING, format="%(asctime)s %(levelname)s %(message)s")
+    logging.getLogger().handlers[0].addFilter(Bounded())
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the watch runs there is nothing to move
     try:
         path = Path(os.environ["LB_CONFIG"])
--- a/saffrongw/config.py
+++ b/saffrongw/config.py
@@ -66,17 +66,19 @@
     hosts, odd = [], 0
     for line in raw["hosts"]:
         try:
-            site = line["site"]
+            site, born = line["site"], int(line["born_ms"]) * MS
+            if not 0 <= born < 1 << 63:
+                raise ValueError("not a time")
             entry = api.ServerEntry(
                 server=str(line["host"]).encode(),
                 phase=PHASES[line["health"]],
                 zone=zones.index(site) if site in zones else len(zones),
                 cell=int(line["block"]),
-                launched=int(line["born_ms"]) * MS,
+                launched=born,
                 size=float(line["share"]),
             )
             hosts.append(HostEntry(entry, address(line["dial"])))
-        except (KeyError, TypeError, ValueError, AttributeError):
+        except (LookupError, TypeError, ValueError, AttributeError, ArithmeticError):
             odd += 1
     return HostList(int(raw["seq"]), bool(raw["whole"]), tuple(hosts), odd)
 
--- a/saffrongw/discovery.py
+++ b/saffrongw/discovery.py
@@ -14,8 +14,9 @@
 log = logging.getLogger(__name__)
 
 PATH = "/registry/instances"
-WAIT = 20.0  # seconds that a call may wait for news
-ANSWER_WITHIN = 2.0  # seconds beyond that: a silent agent is tried anew
+WAIT = 2.0  # seconds that a call may wait for news: a silent agent is noticed only after that
+ANSWER_WITHIN = 1.0  # seconds beyond that: a silent agent is tried anew
+BODY_MOST = 1 << 20  # bytes of one answer: some thousand hosts
 BACK_OFF, BACK_OFF_MOST = 0.05, 1.0  # seconds before connecting again, doubled with each failure
 CONNECT_WITHIN = 1.0
 
@@ -50,6 +51,8 @@
                     self.status = event.status_code
                 elif isinstance(event, h11.Data):
                     self.body += event.data
+                    if len(self.body) > BODY_MOST:  # guards memory against an answer without end
+                        raise ValueError("an answer is too long")
                 elif isinstance(event, h11.EndOfMessage):
                     body, self.body = bytes(self.body), bytearray()
                     if self.status != 200:
@@ -59,8 +62,16 @@
                     self.watch.answered(listed)
                 elif isinstance(event, h11.ConnectionClosed):
                     break
-        except (ValueError, KeyError, TypeError, AttributeError, h11.ProtocolError) as wrong:
-            log.warning("discovery: %s", wrong)
+        except (
+            ValueError,
+            LookupError,
+            TypeError,
+            AttributeError,
+            RecursionError,
+            ArithmeticError,
+            h11.ProtocolError,
+        ) as wrong:
+            log.warning("discovery: %.200s", wrong)
             self.transport.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
--- a/saffrongw/hosts.py
+++ b/saffrongw/hosts.py
@@ -27,7 +27,6 @@
 REST = 0.02  # seconds before a connection is used again: what comes behind an answer comes in this time
 REST_WITHIN = 0.5  # seconds for the rest of an answer that has begun
 CLOSING_MOST = 24  # connections closed in this turn of the loop whose descriptors are not free yet
-LOGGED_MOST = 20  # spoilt answers that are logged
 LINES = {b"-ERR failed": api.Outcome.ERROR, b"-BUSY": api.Outcome.FULL}
 MS = 1_000
 
@@ -260,7 +259,6 @@
         self.keep_idle = IDLE_PART * idle_close
         self.sockets = 0  # open or opening
         self.closing: set[Connection] = set()
-        self.logged = 0
         self.pools: dict[api.Server, Pool] = {}
         self._sweep()
 
@@ -313,9 +311,7 @@
 
     def spoilt(self, attempt: Attempt, why: str) -> None:
         """An answer that can't be believed: the attempt has failed and may have run, its host answers."""
-        if self.logged < LOGGED_MOST:
-            self.logged += 1
-            log.warning("spoilt answer of %s: %s", attempt.server.decode(errors="replace"), why)
+        log.warning("spoilt answer of %s: %s", attempt.server.decode(errors="replace"), why)
         self.driver.attempt_ended(attempt, api.Outcome.ERROR)
 
     def make_room(self) -> bool:
--- a/tests/test_counts.py
+++ b/tests/test_counts.py
@@ -400,3 +400,71 @@
     assert 0 < told <= 75_000  # 0.15 of the aim
     bench.run(told + 1)
     assert of(bench.ask(200, size=1), api.Send)
+
+
+def test_approvals_that_come_fast_share_messages_and_none_is_forgotten():
+    """One message each would use up what a gateway may send, and leave none to answer with."""
+    bench = Bench()
+    for number in range(300):
+        (sent,) = of(bench.ask(number, customer=number), api.Send)
+        bench.outcome(number, sent.server, api.Outcome.SERVED)
+        bench.run(2_000)
+    bench.run(2 * SECOND)
+    told = [
+        (tell.peer, messages.unpack(tell.body, bench.now // 1000, 3, 4))
+        for tell in of(bench.log, api.TellPeer)
+    ]
+    kept = {row.customer for _, message in told if message.keep for row in message.rows}
+    theirs = {n for n in range(300) if bench.gateway._keeper(bench.gateway._account(n, 0, 0, 3, True)) != 0}
+    assert theirs <= kept
+    assert len(told) <= 0.8 * 50 * (1 + 2.6 + 1)
+    assert bench.gateway.due == {}
+
+
+def test_customers_that_came_once_are_forgotten():
+    """Those nobody told of too, those with a ceiling, and those whose set is one gateway."""
+    bench = Bench()
+    for number in range(60):
+        for sent in of(
+            bench.ask(number, customer=number, plan=(0, 2)[number % 2], size=1 + number % 3), api.Send
+        ):
+            bench.outcome(number, sent.server, api.Outcome.SERVED)
+        bench.run(50_000)
+    gateway = bench.gateway
+    assert len(gateway.accounts) > 20
+    bench.run(60 * SECOND)
+    kept = gateway.accounts, gateway.idle_queue, gateway.changed, gateway.due, gateway.asked
+    assert [len(one) for one in kept] == [0] * 5
+
+
+def test_forgetting_grants_no_more_than_the_quota():
+    """A customer that no other gateway tells of: what is granted stays below the share and the rate."""
+    bench, granted, start = Bench(), 0, None
+    start = bench.now
+    for number in range(2_000):
+        sent = of(bench.ask(number, size=3), api.Send)
+        granted += len(sent)
+        if sent:
+            bench.outcome(number, sent[0].server, api.Outcome.SERVED)
+        bench.run(20_000)
+    seconds = (bench.now - start) / SECOND
+    assert granted <= PLAIN.burst + PLAIN.rate * seconds
+
+
+def test_a_set_of_one_gets_its_quota_for_good(bench):
+    """Nobody else can tell of it: taken as unheard it would be refused for ever after its first burst."""
+    sent = 0
+    for number in range(60):
+        actions = of(bench.ask(number, customer=5, size=1), api.Send)
+        sent += len(actions)
+        if actions:
+            bench.outcome(number, actions[0].server, api.Outcome.SERVED)
+        bench.run(SECOND)
+    assert sent == 60
+
+
+def test_a_set_that_becomes_one_does_not_stop_the_gossip(bench):
+    bench.ask(1, customer=5, size=3)
+    bench.ask(2, customer=5, size=1)
+    bench.run(SECOND)
+    assert not bench.gateway.changed
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import logging
 import os
 import signal
 import socket
@@ -14,6 +15,7 @@
 from conftest import SITE, Caller, FakeHost, Rig, asyncio_test, until, value
 
 from orchidlane import interface as api
+from saffrongw.__main__ import LOG_MOST, Bounded
 from saffrongw.clients import WAITING_MOST
 from saffrongw.driver import Attempt, Call
 from saffrongw.hosts import REST, parse_report
@@ -694,3 +696,12 @@
     rig.told(old.line("DELETED"), new.line())
     assert await caller.replied() == [b"ok"]
     assert [len(host.commands) for host in (old, new)] == [0, 1]
+
+
+def test_the_log_is_bounded_and_tells_how_much_was_left_out():
+    bounded = Bounded()
+    lines = [logging.makeLogRecord({"msg": "odd", "created": 100.0 + place / 1000}) for place in range(200)]
+    assert sum(bounded.filter(line) for line in lines) == LOG_MOST
+    later = logging.makeLogRecord({"msg": "odd", "created": 200.0})
+    assert bounded.filter(later)
+    assert later.msg == f"({200 - LOG_MOST} lines left out before) odd"
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -10,7 +10,7 @@
 
 from orchidlane import messages
 from saffrongw.config import parse_hosts
-from saffrongw.discovery import Watch
+from saffrongw.discovery import BODY_MOST, Watch
 from saffrongw.peers import Peers
 
 ZONES = ("hall-a", "hall-b")
@@ -69,6 +69,7 @@
 
 def test_an_odd_entry_is_left_out_and_the_others_stand():
     odd = [7, None, {}, line("x", health="ASLEEP"), line("x", block="b"), line("x", dial="nowhere")]
+    odd += [line("x", born_ms=-1), line("x", born_ms=float("inf")), line("x", born_ms=10**30)]
     listed = parse_hosts(
         {"seq": 1, "whole": True, "hosts": [*odd, line("a", site="hall-b", born_ms=12)]}, ZONES
     )
@@ -141,3 +142,23 @@
     await until(lambda: told)
     await asyncio.sleep(0.2)
     assert agent.connections == 1
+
+
+@asyncio_test
+async def test_an_answer_without_end_is_cut_off():
+    loop, told = asyncio.get_running_loop(), []
+
+    class Endless(Agent):
+        def data_received(self, data: bytes) -> None:
+            if self.connections > 1:
+                return super().data_received(data)
+            self.transport.write(
+                b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b" " * (2 * BODY_MOST)
+            )
+
+    agent = Endless([{"seq": 5, "whole": True, "hosts": [line("a")]}])
+    server = await loop.create_server(lambda: agent, "127.0.0.1", 0)
+    watch = Watch(loop, server.sockets[0].getsockname()[:2], ZONES, told.append, answer_within=60.0)
+    watch.start()
+    await until(lambda: told)
+    assert agent.connections == 2
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -259,3 +259,30 @@
     bench.now += SECOND
     sends = [s for r in range(2, 9) for s in of(bench.ask(r, plan=2), api.Send)]
     assert len(sends) <= 5  # its part of eight a second
+
+
+def test_one_spoilt_answer_does_not_close_an_idle_fleet(bench):
+    """Each server spoils one answer: counted as dead ones, all would be refused for seconds."""
+    for number in range(1, 5):
+        bench.ask(number, kind=2, customer=number)
+        sent = of(bench.log, api.Send)[-1]
+        bench.now += 60_000
+        bench.outcome(number, sent.server, api.Outcome.ERROR)
+    assert of(bench.ask(9, customer=99), api.Send)
+
+
+def test_a_request_without_a_server_ends_before_half_its_time_is_over():
+    """Who waits until the end has no time left to ask elsewhere."""
+    bench = Bench(servers=0)
+    bench.ask(1, left=2 * SECOND)
+    start, done = bench.now, []
+    while not of(done, api.Refuse) and bench.now < start + 3 * SECOND:
+        done = bench.run(10_000)
+    assert bench.now - start < SECOND
+
+
+def test_what_was_not_connected_ends_before_half_its_time_too(bench):
+    bench.ask(1, left=2 * SECOND)
+    bench.now += SECOND
+    sent = of(bench.log, api.Send)[-1]
+    assert of(bench.outcome(1, sent.server, api.Outcome.NOT_CONNECTED), api.Refuse)
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -150,3 +150,46 @@
     bench = Bench(servers=0)
     bench.feed(listed(entry(0), *(entry(i, launched=bench.now) for i in range(1, 200))))
     assert [s.server for s in of(bench.ask(1), api.Send)] == [entry(0).server]
+
+
+def test_what_is_kept_of_servers_shrinks_again():
+    """A long day replaces every server many times, each in a block of its own."""
+    bench = Bench(servers=0)
+    gateway = bench.gateway
+    for number in range(200):
+        bench.now += SECOND
+        born = entry(number % 250, cell=number, launched=bench.now)
+        bench.feed(listed(born, kind=api.ListKind.CHANGES))
+        bench.ask(number, customer=number)
+        gone = entry(number % 250, phase=api.Phase.GONE, cell=number, launched=bench.now)
+        bench.feed(listed(gone, kind=api.ListKind.CHANGES))
+    kept = (
+        gateway.hosts,
+        gateway.cells,
+        gateway.zones,
+        gateway.warming,
+        gateway.warm.hosts,
+        gateway.cold.hosts,
+    )
+    assert [len(one) for one in kept] == [0] * 6
+
+
+def test_a_server_that_a_whole_list_leaves_out_is_forgotten(bench):
+    bench.feed(listed(entry(1)))
+    assert list(bench.gateway.hosts) == [entry(1).server]
+
+
+def test_a_start_in_the_future_keeps_a_server_cold_no_longer_than_one_now(bench):
+    bench.feed(listed(entry(9, launched=bench.now + 1000 * SECOND), kind=api.ListKind.CHANGES))
+    bench.now += bench.settings.warm_within
+    bench.ask(1)
+    assert not bench.gateway.cold.hosts
+    assert not bench.gateway.warming
+
+
+def test_an_attempt_at_a_server_that_is_gone_still_ends(bench):
+    bench.ask(1)
+    sent = of(bench.log, api.Send)[-1]
+    bench.feed(listed(kind=api.ListKind.WHOLE))
+    bench.outcome(1, sent.server, api.Outcome.SERVED)
+    assert bench.gateway.attempts == bench.gateway.requests == {}
