An idle host is tried in any case; second copies and earlier idle closes measured and left out

To blame: rules._advance refused by _expected, which holds past failures, also where a host holds nothing. A bad header is logged with its first bytes.

--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -74,7 +74,8 @@
         if host is None:
             span = min(HOLD, last_call - self.now)
             return self.actions.append(api.SetTimer(span, request.event.request + 1))
-        if first and self._expected(host, request.event.kind) > self._patience(request):
+        # Guards against refusing all for failures that only answers make good: an idle one is tried.
+        if first and host.out and self._expected(host, request.event.kind) > self._patience(request):
             return self._end(request)
         return self._send(request, host)
 
--- a/saffrongw/resp.py
+++ b/saffrongw/resp.py
@@ -47,7 +47,7 @@
             return found
         if begun.fullmatch(self.data[at : at + _HEADER_MOST]):
             return None
-        raise Malformed("not a header of the protocol")
+        raise Malformed(f"not a header of the protocol: {self.data[at : at + 2 * _HEADER_MOST]!r}")
 
     def _bulk(self, at: int, most: int, null: bool = False) -> tuple[bytes | None, int] | None:
         """A bulk string and where it ends; None where it is not whole yet."""
