Idle connections of clients are closed after 0.5 s where more than a quarter of all are idle

Ruled out: quota, ceiling and patience (probe: 1,500 refusals in all, mostly spent quotas). Cause (probe in clients.py): some 126 idle connections stand from second 4 on, each used once; clients hold a third of the descriptors (128) for requests, so the rest found no connection. To blame: clients.py kept idle ones for 10 s and made room only at its own limit of 168, which lies above theirs. Now the longest idle beyond a quarter of the limit are closed after 0.5 s.

--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -17,6 +17,7 @@
 ACCEPT_MOST = 16  # connections accepted in one turn of the loop: a flood of them must not hold up the rest
 COMMAND_WITHIN = 2.0  # seconds for a whole command, from connecting or from its first byte
 IDLE_MOST = 10.0  # seconds after which a connection without a request is closed, even if there is room
+IDLE_LEAST, IDLE_PART = 0.5, 0.25  # seconds after which it is, where more than this part of all are idle
 CLOSE_WITHIN = 1.0  # seconds for a client to read what is left for it before its connection is reset
 SWEEP = 0.25  # seconds between two looks at these limits
 WAITING_MOST = 32  # commands of one connection that wait for their answers; more are left unread
@@ -301,8 +302,11 @@
                 client.settle()
             else:  # a request may be on its way: a close can't be taken for its answer
                 client.transport.close()
-        for client in _older(self.idle, now - IDLE_MOST):
-            client.transport.close()
+        # Guards clients, who hold only so many connections: those that ask once and keep one use them up.
+        surplus = len(self.idle) - int(IDLE_PART * self.most)
+        for place, client in enumerate(_older(self.idle, now - IDLE_LEAST)):
+            if place < surplus or self.idle[client] <= now - IDLE_MOST:
+                client.transport.close()
         for client in _older(self.ending, now - CLOSE_WITHIN):
             if not client.slots:
                 client.transport.abort()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -16,7 +16,7 @@
 
 from orchidlane import interface as api
 from saffrongw.__main__ import LOG_MOST, Bounded
-from saffrongw.clients import WAITING_MOST
+from saffrongw.clients import IDLE_LEAST, SWEEP, WAITING_MOST
 from saffrongw.driver import Attempt, Call
 from saffrongw.hosts import REST, parse_report
 
@@ -705,3 +705,19 @@
     later = logging.makeLogRecord({"msg": "odd", "created": 200.0})
     assert bounded.filter(later)
     assert later.msg == f"({200 - LOG_MOST} lines left out before) odd"
+
+
+@asyncio_test
+async def test_where_many_are_idle_the_longest_idle_are_closed():
+    """Clients hold only so many connections: kept for good after one request, they leave none for others."""
+    rig = Rig(await FakeHost("a").listen(), sockets=16)
+    callers = [await rig.caller() for _ in range(10)]
+    for caller in callers:
+        caller.ask(b"PING")
+        await until(lambda caller=caller: caller.replies)
+    await until(lambda: len(rig.clients.idle) == 10)
+    for client in rig.clients.idle:
+        rig.clients.idle[client] -= IDLE_LEAST
+    await until(lambda: sum(caller.closed for caller in callers) == 6)
+    await asyncio.sleep(2 * SWEEP)
+    assert [caller.closed for caller in callers] == [True] * 6 + [False] * 4
