--- a/saffrongw/gateway/discovery.py
+++ b/saffrongw/gateway/discovery.py
@@ -10,6 +10,7 @@
 import h11
 
 from .config import Address, HostList, parse_hosts
+from .news import News
 
 log = logging.getLogger(__name__)
 
@@ -94,6 +95,7 @@
         self.loop, self.address, self.zones, self.told = loop, address, zones, told
         self.wait, self.answer_within = wait, answer_within
         self.back_off = BACK_OFF
+        self.news = News()
         self.exchange: Exchange | None = None
         self.silence: asyncio.TimerHandle | None = None
         self.task: asyncio.Task | None = None
@@ -152,7 +154,7 @@
         if listed.odd:
             log.warning("discovery: %d odd entries left out", listed.odd)
         if listed.whole or listed.hosts:
-            self.told(listed)
+            self.told(self.news.sift(listed, self.loop.time()))
 
     def lost(self, exchange: Exchange) -> None:
         """The connection is gone: a new one after a short while."""
--- /dev/null
+++ b/standin/discovery.py
@@ -0,0 +1,145 @@
+"""Discovery's agents on sockets: HTTP/1.1 with watches, one agent for each gateway."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from urllib.parse import parse_qs, urlsplit
+
+import h11
+
+from .registry import Agent, Line
+
+PATH = "/registry/instances"
+WAIT_MOST = 60.0
+
+
+class _Call(asyncio.Protocol):
+    def __init__(self, server: AgentServer) -> None:
+        self.server, self.http = server, h11.Connection(h11.SERVER)
+        self.transport: asyncio.Transport | None = None
+        self.asked = ""
+        self.index: int | None = None  # of the watch that waits
+        self.timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+        self.server.open.add(self)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self.http.receive_data(data)
+            while (event := self.http.next_event()) not in (h11.NEED_DATA, h11.PAUSED):
+                if isinstance(event, h11.Request):
+                    self.asked = event.target.decode("ascii", "replace")
+                elif isinstance(event, h11.EndOfMessage):  # only now may an answer end the cycle
+                    self._asked(self.asked)
+                elif isinstance(event, h11.ConnectionClosed):
+                    break
+        except (h11.ProtocolError, ValueError):
+            self.transport.abort()
+
+    def _asked(self, target: str) -> None:
+        parts = urlsplit(target)
+        query = parse_qs(parts.query)
+        if parts.path != PATH:
+            self._write(404, b"")
+        elif "index" not in query:
+            self.index = -1
+            self.server.answer(self)
+        else:
+            self.index = int(query["index"][0])
+            wait = min(WAIT_MOST, int(query.get("wait", ["0"])[0]) / 1000)
+            self.timer = self.server.loop.call_later(wait, self._over)
+            if self.server.agent.news(self.index):
+                self.server.answer(self)
+
+    def _over(self) -> None:
+        self.timer = None
+        self.server.answer(self)
+
+    def reply(self, body: bytes) -> None:
+        """Answer the call that waits."""
+        self.index = None
+        if self.timer:
+            self.timer.cancel()
+            self.timer = None
+        self._write(200, body)
+
+    def _write(self, status: int, body: bytes) -> None:
+        headers = [("content-type", "application/json"), ("content-length", str(len(body)))]
+        data = self.http.send(h11.Response(status_code=status, headers=headers))
+        data += self.http.send(h11.Data(data=body)) + self.http.send(h11.EndOfMessage())
+        self.transport.write(data)
+        if self.http.our_state is h11.MUST_CLOSE:
+            self.transport.close()
+        else:
+            self.http.start_next_cycle()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        if self.timer:
+            self.timer.cancel()
+        self.server.open.discard(self)
+
+
+class AgentServer:
+    """One gateway's agent: it answers at once with what it has been sent, unless discovery is silent."""
+
+    def __init__(
+        self,
+        agent: Agent,
+        dial: Callable[[Line], str],
+        told: Callable[[int, bool, tuple[Line, ...]], None],
+    ) -> None:
+        self.agent, self.dial, self.told = agent, dial, told
+        self.loop = asyncio.get_running_loop()
+        self.open: set[_Call] = set()
+        self.silent = False
+        self.server: asyncio.Server | None = None
+        self.address = ("", 0)
+
+    async def listen(self) -> None:
+        """At a new address; an old one stops taking connections and closes the open ones after 1.5 s."""
+        old, calls = self.server, set(self.open)
+        self.server = await self.loop.create_server(lambda: _Call(self), "127.0.0.1", 0)
+        self.address = self.server.sockets[0].getsockname()
+        if old:
+            old.close()
+            self.loop.call_later(1.5, lambda: [call.transport.close() for call in calls])
+
+    def body(self, seq: int, whole: bool, lines: tuple[Line, ...]) -> bytes:
+        """An answer in the protocol's form."""
+        return json.dumps(
+            {"seq": seq, "whole": whole, "hosts": [line.shown(self.dial(line)) for line in lines]}
+        ).encode()
+
+    def answer(self, call: _Call) -> None:
+        """Answer a call, unless silent: then it waits for the end of the silence."""
+        if self.silent or call.index is None:
+            return
+        found = self.agent.whole() if call.index < 0 else self.agent.since(call.index)
+        self.told(*found)
+        call.reply(self.body(*found))
+
+    def changed(self) -> None:
+        """Something has come: the watches that wait are answered."""
+        for call in list(self.open):
+            if call.index is not None and (call.index < 0 or self.agent.news(call.index)):
+                self.answer(call)
+
+    def silence(self, silent: bool) -> None:
+        """Discovery goes down, or is back."""
+        self.silent = silent
+        for call in list(self.open) if not silent else ():
+            if call.index is not None and (
+                call.index < 0 or call.timer is None or self.agent.news(call.index)
+            ):
+                self.answer(call)
+
+    def close(self) -> None:
+        """The end."""
+        if self.server:
+            self.server.close()
+        for call in list(self.open):
+            call.transport.abort()
--- /dev/null
+++ b/standin/host_model.py
@@ -0,0 +1,222 @@
+"""One stand-in host as a model: cores shared by what is in work, slots, a queue, a cold start that can fall over,
+late load reports, and racks that drop keyed repeats. Pure: events and the time go in, what happened comes out.
+
+Times in microseconds, work in seconds of one core at nominal speed.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+from enum import Enum
+
+from .scenario import Hosts
+
+SECOND = 1_000_000
+STEP = 50_000  # us after which a warming host's speed is taken anew
+KEYS_MOST = 100_000  # keyed repeats that a rack remembers at most
+
+
+class Took(Enum):
+    """What a host does with a command that has come whole."""
+
+    WORKS = "works"
+    WAITS = "waits"
+    TURNS_AWAY = "turns away"
+    REPEAT = "repeat"  # a keyed one that the rack has seen: it is answered with the first one
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """One command at a host."""
+
+    request: str
+    cls: str
+    key: str  # "" where the class is not keyed
+    window: int
+    work: float
+    tag: object = None  # the caller's
+    started: int = 0
+    finish: float = 0.0  # on the host's virtual clock
+    running: bool = False
+    gone: bool = False  # nobody waits for it any more
+    followers: list[Job] = field(default_factory=list)  # repeats that are answered with it
+
+
+@dataclass(slots=True)
+class Seen:
+    """A key that a rack remembers."""
+
+    at: int
+    job: Job
+    value: str | None = None
+
+
+class Rack:
+    """Hosts that together drop the repeats of a keyed request within its window."""
+
+    def __init__(self) -> None:
+        self.seen: OrderedDict[str, Seen] = OrderedDict()
+
+    def look(self, key: str, now: int, window: int) -> Seen | None:
+        """What is remembered of a key: nothing from the moment its window is over."""
+        found = self.seen.get(key)
+        if found and now - found.at >= window:
+            del self.seen[key]
+            return None
+        return found
+
+    def note(self, key: str, now: int, job: Job) -> None:
+        """Remember one that begins."""
+        self.seen[key] = Seen(now, job)
+        self.seen.move_to_end(key)
+        while len(self.seen) > KEYS_MOST:
+            self.seen.popitem(last=False)
+
+
+class HostModel:
+    """The state of one life of one host."""
+
+    def __init__(self, figures: Hosts, rack: Rack, seed: str, born: int, cold: bool, now: int) -> None:
+        self.f, self.rack, self.random = figures, rack, random.Random(seed)
+        self.speed = self.random.uniform(*figures.speed)
+        self.born, self.cold = born, cold
+        self.now = now
+        self.virtual = 0.0  # seconds of work that each job in work has had
+        self.working: list[tuple[float, int, Job]] = []
+        self.waiting: deque[Job] = deque()
+        self.begun: list[Job] = []  # since ``take_begun`` was last called
+        self.orders = 0
+        self.pressed: deque[tuple[int, float]] = deque()  # work that has come within the last span
+        self.fallen = False
+        self.busy_since, self.busy_area = now, 0.0
+        self.period = int(self.random.uniform(*figures.report_period_ms) * 1000)
+        self.reported_at, self.report = now, "util=0,latency_ms=1,inflight=0"
+        self.latency = 0.0
+
+    # -- capacity -------------------------------------------------------------------------------------------
+
+    def ramp(self, now: int) -> float:
+        """The share of its capacity that it has by now: it rises evenly with time."""
+        if not self.cold or self.f.cold_s <= 0:
+            return 1.0
+        return min(
+            1.0, self.f.cold_from + (1 - self.f.cold_from) * (now - self.born) / (self.f.cold_s * SECOND)
+        )
+
+    def capacity(self, now: int) -> float:
+        """Seconds of work that it can do in a second."""
+        return self.f.cores * self.speed * self.ramp(now)
+
+    def _rate(self, now: int) -> float:
+        """Seconds of work that each job in work gets in a second."""
+        number = len(self.working)
+        if not number:
+            return 0.0
+        crowd = max(0.0, number / self.f.cores - 2)
+        return min(1.0, self.f.cores / number) * self.speed * self.ramp(now) / (1 + self.f.thrash * crowd)
+
+    # -- time -----------------------------------------------------------------------------------------------
+
+    def due(self) -> int | None:
+        """When to call ``advance`` again at the latest; None while nothing is in work."""
+        if not self.working:
+            return None
+        left = max(0.0, self.working[0][0] - self.virtual)
+        at = self.now + int(left / max(1e-9, self._rate(self.now)) * SECOND) + 1
+        return min(at, self.now + STEP) if self.ramp(self.now) < 1 else at
+
+    def advance(self, now: int) -> list[Job]:
+        """Let time pass; the jobs that are done by then, in their order."""
+        done: list[Job] = []
+        while self.now < now:
+            until = min(now, self.due() or now)
+            until = max(until, min(now, self.now + 1))
+            span = (until - self.now) / SECOND
+            self.busy_area += span * min(1.0, len(self.working) / self.f.cores)
+            self.virtual += span * self._rate(self.now)
+            self.now = until
+            while self.working and self.working[0][0] <= self.virtual + 1e-9:
+                done.append(heapq.heappop(self.working)[2])
+                self._next()
+        self._report(now)
+        return done
+
+    def _next(self) -> None:
+        while self.waiting and len(self.working) < self.f.slots:
+            self._begin(self.waiting.popleft())
+
+    def _begin(self, job: Job) -> None:
+        job.running, job.started, job.finish = True, self.now, self.virtual + job.work
+        self.orders += 1
+        heapq.heappush(self.working, (job.finish, self.orders, job))
+        self.begun.append(job)
+
+    def take_begun(self) -> list[Job]:
+        """Jobs that began to run since the last call."""
+        begun, self.begun = self.begun, []
+        return begun
+
+    # -- commands -------------------------------------------------------------------------------------------
+
+    def arrive(self, now: int, job: Job, draining: bool) -> tuple[Took, str | None]:
+        """A command has come whole. The second part is the value of a repeat whose first run has ended."""
+        self._press(now, job.work)
+        if job.key and (seen := self.rack.look(job.key, now, job.window)):
+            if seen.value is not None:
+                return Took.REPEAT, seen.value
+            if not seen.job.gone or seen.job.running:
+                seen.job.followers.append(job)
+                return Took.REPEAT, None
+        if draining or (len(self.working) >= self.f.slots and len(self.waiting) >= self.f.queue):
+            return Took.TURNS_AWAY, None
+        if job.key:
+            self.rack.note(job.key, now, job)
+        if len(self.working) < self.f.slots:
+            self._begin(job)
+            return Took.WORKS, None
+        self.waiting.append(job)
+        return Took.WAITS, None
+
+    def cancel(self, job: Job) -> bool:
+        """Its connection has ended; True where it was waiting and is dropped, so that it never runs."""
+        job.gone = True
+        if self.f.drops_cancelled and job in self.waiting and not job.followers:
+            self.waiting.remove(job)
+            if job.key and (seen := self.rack.seen.get(job.key)) and seen.job is job:
+                del self.rack.seen[job.key]
+            return True
+        return False
+
+    def ended(self, job: Job, now: int, value: str) -> None:
+        """A job is done and this is its value: repeats get it too."""
+        took = (now - job.started) / 1000
+        self.latency += 0.2 * (took - self.latency) if self.latency else took
+        if job.key and (seen := self.rack.seen.get(job.key)) and seen.job is job:
+            seen.value = value
+
+    # -- falling over, reports ------------------------------------------------------------------------------
+
+    def _press(self, now: int, work: float) -> None:
+        """All work that comes adds to the pressure, also what is turned away; a cold host may fall over."""
+        span = int(self.f.fall_s * SECOND)
+        self.pressed.append((now, work))
+        while self.pressed[0][0] <= now - span:
+            self.pressed.popleft()
+        if not self.cold or self.ramp(now) >= 1:
+            return
+        budget = self.f.fall_multiple * self.capacity(now) * self.f.fall_s
+        if sum(work for _, work in self.pressed) > budget:
+            self.fallen = True
+
+    def _report(self, now: int) -> None:
+        """The load report: it is refreshed now and then only."""
+        if now - self.reported_at < self.period:
+            return
+        span = max(1, now - self.reported_at) / SECOND
+        util = min(1.0, max(0.0, self.busy_area / span + self.random.gauss(0, 0.03)))
+        held = len(self.working) + len(self.waiting)
+        self.report = f"util={util:.2f},latency_ms={max(0.0, self.latency):.1f},inflight={held}"
+        self.reported_at, self.busy_area = now, 0.0
--- /dev/null
+++ b/standin/hosts.py
@@ -0,0 +1,411 @@
+"""Stand-in hosts on sockets: RESP2 in, answers in order out, the model's doings recorded."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import re
+from collections import deque
+from dataclasses import dataclass
+
+import hiredis
+
+from .host_model import HostModel, Job, Rack, Took
+from .record import Attempt, Effect, HostEvent, Log, Made, Turned
+from .relay import LOCAL, TcpRelay, reset
+from .scenario import Class, Scenario
+
+_TERMS = {"c", "t", "d", "units", "spread", "first"}
+_CUSTOMER = re.compile(rb"[0-9a-f]{16}")
+PIPELINE_MOST = 32
+SPOILS = ("noise", "length", "endless", "huge", "doubled", "report", "ahead")
+HARMLESS = ("doubled", "report")  # the value itself is whole and good
+HUGE_CHUNKS = 32  # of 64 KiB that a value without end sends at most
+
+
+def value_reply(value: str, report: str) -> bytes:
+    """A served answer: the value, no figures on use, the load report."""
+    return b"*3\r\n$%d\r\n%b\r\n$-1\r\n$%d\r\n%b\r\n" % (
+        len(value),
+        value.encode(),
+        len(report),
+        report.encode(),
+    )
+
+
+@dataclass(slots=True, eq=False)
+class _Slot:
+    """One command's place on its connection."""
+
+    conn: _HostConnection
+    request: str
+    reply: bytes | None = None
+    tail: bytes = b""  # written behind it, where it spoils
+    chunks: int = 0  # of a value without end
+
+
+class _HostConnection(asyncio.Protocol):
+    def __init__(self, host: StandinHost) -> None:
+        self.host, self.reader, self.slots = host, hiredis.Reader(), deque()
+        self.number, self.total, self.began = host.fleet.next_number(), 0, 0
+        self.jobs: dict[_Slot, Job] = {}
+        self.transport: asyncio.Transport | None = None
+        self.idle: asyncio.TimerHandle | None = None
+        self.port, self.life = 0, host.life
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+        self.port = transport.get_extra_info("peername")[1]
+        self.host.connections.add(self)
+        if self.host.frozen:
+            transport.pause_reading()
+        self._rest()
+
+    def data_received(self, data: bytes) -> None:
+        self.total += len(data)
+        try:
+            self.reader.feed(data)
+            while (command := self.reader.gets()) is not False:
+                began, last = self.began, self.total - 1
+                if not self.reader.has_data():
+                    self.began = self.total
+                self._command(command, began, last)
+        except hiredis.ProtocolError:
+            self.transport.abort()
+
+    def _command(self, command: list, began: int, last: int) -> None:
+        slot = _Slot(self, "")
+        self.slots.append(slot)
+        if self.idle:
+            self.idle.cancel()
+        name = command[0].upper() if isinstance(command, list) and command else b""
+        if name in (b"CALL.GET", b"CALL.POST"):
+            self.host.take(self, slot, command, began, last)
+        elif name == b"PING":
+            slot.reply = b"+PONG\r\n"
+        elif name == b"INFO":
+            report = self.host.model.report.encode()
+            slot.reply = b"$%d\r\n%b\r\n" % (len(report), report)
+        elif name in (b"CLIENT", b"SELECT"):
+            slot.reply = b"+OK\r\n"
+        else:
+            slot.reply = b"-ERR unknown command\r\n"
+        self.flush()
+
+    def flush(self) -> None:
+        """Write the answers whose turn has come."""
+        while self.slots and self.slots[0].reply is not None and not self.host.frozen:
+            slot = self.slots.popleft()
+            if not self.transport.is_closing():
+                self.transport.write(slot.reply + slot.tail)
+                if slot.chunks:
+                    self._pour(slot.chunks)
+        if not self.slots:
+            self._rest()
+
+    def _pour(self, left: int) -> None:
+        """A value that keeps coming."""
+        if left and not self.transport.is_closing() and not self.host.frozen:
+            self.transport.write(b"x" * 65536)
+            self.host.fleet.loop.call_later(0.01, self._pour, left - 1)
+
+    def _rest(self) -> None:
+        if self.idle:
+            self.idle.cancel()
+        wait = self.host.fleet.scenario.hosts.idle_close_s
+        self.idle = self.host.fleet.loop.call_later(wait, self.transport.close)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.host.connections.discard(self)
+        if self.idle:
+            self.idle.cancel()
+        if self.reader.has_data() and self.life == self.host.life:
+            self.host.cut_short(self)
+        for slot, job in self.jobs.items():
+            if slot.reply is None and self.life == self.host.life:
+                self.host.model.cancel(job)
+        self.jobs.clear()
+
+
+class StandinHost:
+    """One host: a model, a listener, a relay for each gateway."""
+
+    def __init__(self, fleet: Fleet, name: str, zone: str, rack: int) -> None:
+        self.fleet, self.name, self.zone, self.rack_number = fleet, name, zone, rack
+        self.life, self.born_ms = 0, 0
+        self.connections: set[_HostConnection] = set()
+        self.relays: list[TcpRelay] = []
+        self.server: asyncio.Server | None = None
+        self.model: HostModel | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.frozen = self.draining = False
+        self.spoil = 0.0
+        self.values = 0
+        self.random = random.Random(f"{fleet.scenario.seed}:host:{name}")
+
+    @property
+    def up(self) -> bool:
+        """Whether its process runs."""
+        return self.server is not None
+
+    def relay(self, gateway: int) -> TcpRelay:
+        """The relay through which a gateway reaches it."""
+        return self.relays[gateway]
+
+    def dial(self, gateway: int) -> str:
+        """Where a gateway finds it."""
+        return ":".join(map(str, self.relays[gateway].address))
+
+    async def start(self, cold: bool) -> None:
+        """A new life; its address stays."""
+        now, fleet = self.fleet.clock(), self.fleet
+        self.life += 1
+        self.frozen = self.draining = False
+        self.born_ms = fleet.clock.unix_ms(now) if cold else 0
+        rack = fleet.racks.setdefault(self.rack_number, Rack())
+        seed = f"{fleet.scenario.seed}:{self.name}:{self.life}"
+        self.model = HostModel(fleet.scenario.hosts, rack, seed, now, cold, now)
+        self.server = await fleet.loop.create_server(lambda: _HostConnection(self), LOCAL, 0)
+        if not self.relays:
+            self.new_address()
+        for relay in self.relays:
+            relay.set(None)
+        fleet.log.add(
+            HostEvent(now, self.name, self.life, "up", f"rack {self.rack_number}{' cold' if cold else ''}")
+        )
+
+    def new_address(self) -> None:
+        """Its relays are made anew: from now on it is found elsewhere."""
+        for relay in self.relays:
+            relay.close()
+        seed = f"{self.fleet.scenario.seed}:relay:{self.name}:{self.life}"
+        self.relays = [
+            TcpRelay(self.fleet.clock, self._target, f"{seed}:{g}")
+            for g in range(self.fleet.scenario.gateways)
+        ]
+
+    def _target(self) -> tuple[str, int] | None:
+        return self.server.sockets[0].getsockname() if self.server else None
+
+    def stop(self, what: str = "down") -> None:
+        """The process is gone: its connections are reset, new ones are refused."""
+        if not self.server:
+            return
+        self.server.close()
+        self.server = None
+        if self.timer:
+            self.timer.cancel()
+        self.life += 1  # what its old connections still report does not count
+        for connection in list(self.connections):
+            reset(connection.transport)
+        for relay in self.relays:
+            relay.set(self.fleet.refuse)
+        self.life -= 1
+        self.fleet.log.add(HostEvent(self.fleet.clock(), self.name, self.life, what))
+
+    def freeze(self) -> None:
+        """As by SIGSTOP: the kernel still accepts, nothing is read, nothing answers, no work goes on."""
+        if self.up and not self.frozen:
+            self._advance()
+            self.frozen = True
+            for connection in self.connections:
+                connection.transport.pause_reading()
+            self.fleet.log.add(HostEvent(self.fleet.clock(), self.name, self.life, "frozen"))
+
+    def thaw(self) -> None:
+        """As by SIGCONT."""
+        if self.up and self.frozen:
+            self.frozen, self.model.now = False, self.fleet.clock()
+            self.fleet.log.add(HostEvent(self.fleet.clock(), self.name, self.life, "thawed"))
+            for connection in list(self.connections):
+                connection.flush()
+                if not connection.transport.is_closing():
+                    connection.transport.resume_reading()
+            self._advance()
+
+    # -- requests -------------------------------------------------------------------------------------------
+
+    def _when(self, connection: _HostConnection, began: int, last: int) -> tuple[int, int, int]:
+        """The gateway, and when first and last byte of a command came on its side of the network."""
+        now = self.fleet.clock()
+        for gateway, relay in enumerate(self.relays):
+            if session := relay.by_port.get(connection.port):
+                first, end = session.arrived_at(began), session.arrived_at(last)
+                return gateway, now if first is None else first, now if end is None else end
+        return -1, now, now
+
+    def take(self, connection: _HostConnection, slot: _Slot, command: list, began: int, last: int) -> None:
+        """A request has come whole."""
+        fleet, now = self.fleet, self.fleet.clock()
+        parsed = self._parse(command)
+        if parsed is None:
+            fleet.log.add(HostEvent(now, self.name, self.life, "syntax", repr(command)[:200]))
+            slot.reply = b"-SYNTAX\r\n"
+            return
+        cls, terms, customer, request = parsed
+        self._advance()
+        gateway, first, end = self._when(connection, began, last)
+        key, slot.request = terms.get("k", ""), request
+        draw = random.Random(f"{fleet.scenario.seed}:work:{customer}:{request}:{self.name}")
+        work = draw.uniform(*cls.work_ms) / 1000
+        window = cls.window_ms * 1000
+        job = Job(request, cls.name, f"{customer}:{key}" if key else "", window, work, slot)
+        fleet.log.add(
+            Attempt(
+                first,
+                end,
+                request,
+                gateway,
+                self.name,
+                self.life,
+                self.rack_number,
+                cls.name,
+                key,
+                customer,
+                terms["t"],
+                float(terms["units"]),
+                work,
+                self.model.capacity(now),
+                connection.number,
+            )
+        )
+        connection.jobs[slot] = job
+        took, value = self.model.arrive(now, job, self.draining)
+        self._begun()
+        if took is Took.TURNS_AWAY:
+            fleet.log.add(Turned(now, request, self.name, connection.number))
+            slot.reply = b"-BUSY\r\n"
+        elif value is not None:
+            self._serve(slot, value)
+        if self.model.fallen:
+            self.stop("fell")
+            return
+        self._plan()
+
+    def _parse(self, command: list) -> tuple[Class, dict[str, str], int, str] | None:
+        """A request in the protocol's exact form, or None."""
+        try:
+            name, customer, number, text, *body = command
+            pairs = [pair.split("=", 1) for pair in text.decode("ascii").split(",")]
+            terms = dict(pairs)
+            cls = self.fleet.classes[terms["c"]]
+            keyed = cls.effect == "keyed"
+            wanted = _TERMS | ({"k"} if keyed else set()) | ({"r"} if "r" in terms else set())
+            good = (
+                len(terms) == len(pairs)
+                and terms.keys() == wanted
+                and name == (b"CALL.GET" if cls.effect == "safe" else b"CALL.POST")
+                and len(body) == (0 if cls.effect == "safe" else 1)
+                and _CUSTOMER.fullmatch(customer)
+                and terms["t"] in self.fleet.plans
+                and int(terms["d"]) > 0
+                and float(terms["units"]) > 0
+            )
+            return (cls, terms, int(customer, 16), number.decode("ascii")) if good else None
+        except (ValueError, LookupError, AttributeError, TypeError):
+            return None
+
+    def cut_short(self, connection: _HostConnection) -> None:
+        """A command that never came whole."""
+        gateway, first, _ = self._when(connection, connection.began, connection.total - 1)
+        if gateway >= 0:
+            self.fleet.log.add(
+                Attempt(
+                    *(first, -1, "", gateway, self.name, self.life, self.rack_number),
+                    *("", "", 0, "", 0.0, 0.0, 0.0, connection.number),
+                )
+            )
+
+    def _begun(self) -> None:
+        now = self.fleet.clock()
+        for job in self.model.take_begun():
+            self.fleet.log.add(Effect(now, job.request, self.name, self.life, job.cls, job.key))
+
+    def _advance(self) -> None:
+        if not self.server or self.frozen:
+            return
+        for job in self.model.advance(self.fleet.clock()):
+            self.values += 1
+            value = f"{job.request}:{self.name}:{self.life}:{self.values}"
+            self.model.ended(job, self.fleet.clock(), value)
+            for one in (job, *job.followers):
+                self._serve(one.tag, value)
+        self._begun()
+        self._plan()
+
+    def _plan(self) -> None:
+        if self.timer:
+            self.timer.cancel()
+            self.timer = None
+        if self.server and (due := self.model.due()) is not None:
+            self.timer = self.fleet.loop.call_later(max(0, due - self.fleet.clock()) / 1e6, self._advance)
+
+    def _serve(self, slot: _Slot, value: str) -> None:
+        """The answer to one command, good or spoilt."""
+        slot.conn.jobs.pop(slot, None)
+        report = self.model.report
+        good = value_reply(value, report)
+        if self.random.random() < self.fleet.scenario.hosts.error_share:
+            slot.reply = b"-ERR failed\r\n"
+        elif self.spoil and self.random.random() < self.spoil:
+            kind = self.random.choice(SPOILS)
+            self.fleet.spoilt[kind] = self.fleet.spoilt.get(kind, 0) + 1
+            if kind in HARMLESS:
+                self._made(slot.request, value)
+            if kind == "doubled":
+                slot.reply, slot.tail = good, good
+            elif kind == "report":
+                slot.reply = value_reply(value, "util=nan,,=")
+            elif kind == "ahead":
+                slot.reply = b"+CONTINUE\r\n" + good
+            elif kind == "noise":
+                slot.reply = bytes(self.random.randrange(256) for _ in range(40)) + b"\r\n"
+            elif kind == "length":
+                slot.reply = b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n" % (len(value) + 7, value.encode())
+            elif kind == "endless":
+                slot.reply = b"-" + b"x" * 2000
+            else:
+                slot.reply, slot.chunks = b"*3\r\n$3000000000\r\n", HUGE_CHUNKS
+        else:
+            self._made(slot.request, value)
+            slot.reply = good
+        slot.conn.flush()
+
+    def _made(self, request: str, value: str) -> None:
+        self.fleet.log.add(Made(self.fleet.clock(), request, self.name, value))
+
+
+class Fleet:
+    """All hosts of a run."""
+
+    def __init__(self, scenario: Scenario, clock, log: Log, refuse) -> None:
+        self.scenario, self.clock, self.log, self.refuse = scenario, clock, log, refuse
+        self.loop = asyncio.get_running_loop()
+        self.classes = {c.name: c for c in scenario.cls}
+        self.plans = {p.name for p in scenario.plan}
+        self.racks: dict[int, Rack] = {}
+        self.hosts: dict[str, StandinHost] = {}
+        self.spoilt: dict[str, int] = {}
+        self.numbers = self.made = 0
+
+    def next_number(self) -> int:
+        """Connections are numbered over the whole fleet."""
+        self.numbers += 1
+        return self.numbers
+
+    async def add(self, rack: int, cold: bool) -> StandinHost:
+        """One more host, under a new id."""
+        self.made += 1
+        zones = ("hall-a", "hall-b", "hall-c")
+        tag = random.Random(f"{self.scenario.seed}:name:{self.made}").getrandbits(32)
+        host = StandinHost(self, f"s-{tag:08x}", zones[rack % 3], rack)
+        self.hosts[host.name] = host
+        await host.start(cold)
+        return host
+
+    def close(self) -> None:
+        """The end."""
+        for host in self.hosts.values():
+            host.stop("end")
+            for relay in host.relays:
+                relay.close()
--- /dev/null
+++ b/standin/world.py
@@ -0,0 +1,418 @@
+"""One run of a scenario: real gateways among stand-ins, with the faults of its timeline."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import gc
+import random
+import secrets
+import signal
+from collections.abc import Awaitable, Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+from . import arrivals as drawn
+from .clients import ClientSide
+from .clock import Clock, Heartbeat
+from .discovery import AgentServer
+from .hosts import Fleet, StandinHost
+from .processes import GatewayProcess, run_line, watch
+from .record import Began, Finished, Late, Log, Told
+from .record import Fault as FaultBegan
+from .registry import Agent, Change, Line, Registry
+from .relay import TcpFault, UdpRelay, Way
+from .scenario import Fault, Scenario, settings_of
+
+REFUSE = TcpFault("refuse")
+NOTICED_DEAD = 1.0  # seconds until the registry sees that a process has gone, before its news travel
+TERM_NOTICE = 0.3  # seconds after SIGTERM until the front sends no new connections
+LATE_EXTRA = 2.0  # seconds over which late news come in after a silence
+SETTLE = 0.3  # seconds between ready and the first arrival
+
+Progress = Callable[["World"], None]
+
+
+class World:
+    """All parts of one run. ``run`` leaves the log; ``close`` ends everything that was started, in any case."""
+
+    def __init__(self, scenario: Scenario, folder: Path, run: str | None = None) -> None:
+        self.scenario, self.folder = scenario, folder
+        self.loop = asyncio.get_running_loop()
+        self.clock, self.log = Clock(), Log()
+        self.run_line = run or run_line()
+        self.random = random.Random(f"{scenario.seed}:world")
+        self.fleet = Fleet(scenario, self.clock, self.log, REFUSE)
+        self.registry = Registry()
+        self.agents: list[Agent] = []
+        self.servers: list[AgentServer] = []
+        self.held: list[list[Change]] = []  # news that wait for the end of a silence, by gateway
+        self.last_push: list[float] = []
+        self.gateways: list[GatewayProcess] = []
+        self.udp: UdpRelay | None = None
+        self.clients: ClientSide | None = None
+        self.first: list[StandinHost] = []
+        self.tasks: list[asyncio.Task] = []
+        self.begin = 0
+        self.first_known: list[dict[str, Any]] = []
+        self.arrivals = drawn.draw(scenario)
+
+    # -- the start ------------------------------------------------------------------------------------------
+
+    async def open(self) -> None:
+        """Start all parts and wait until every gateway is ready."""
+        s = self.scenario
+        for place in range(s.hosts.count):
+            self.first.append(await self.fleet.add(place // s.hosts.rack_size, cold=False))
+        changes = [self.registry.put(self._line(host)) for host in self.first]
+        for number in range(s.gateways):
+            agent = Agent()
+            for change in changes:
+                agent.receive(change)
+            self.agents.append(agent)
+            self.held.append([])
+            self.last_push.append(0.0)
+            server = AgentServer(
+                agent,
+                lambda line, number=number: self._dial(line.host, number),
+                lambda seq, whole, lines, number=number: self._told(number, seq, whole, lines),
+            )
+            await server.listen()
+            self.servers.append(server)
+            self.gateways.append(GatewayProcess(number, self.folder, self.clock, self.log, self.run_line))
+        way = Way((s.network.peer_ms[0] / 1000, s.network.peer_ms[1] / 1000), s.network.peer_loss)
+        self.udp = UdpRelay([g.peer_listen for g in self.gateways], f"{s.seed}:udp", way)
+        await self.udp.open()
+        self.clients = ClientSide(s, self.clock, self.log, [g.listen for g in self.gateways])
+        self.first_known = [self._known(g.number) for g in self.gateways]
+        await asyncio.gather(*(self._start_gateway(g) for g in self.gateways))
+
+    def _line(self, host: StandinHost) -> Line:
+        return Line(host.name, host.zone, host.rack_number, "SERVING", host.born_ms)
+
+    def _dial(self, host: str, gateway: int) -> str:
+        return self.fleet.hosts[host].dial(gateway)
+
+    def _told(self, gateway: int, seq: int, whole: bool, lines: Sequence[Line]) -> None:
+        hosts = tuple((line.host, line.health, line.born_ms) for line in lines)
+        if whole or hosts:
+            self.log.add(Told(self.clock(), gateway, seq, whole, hosts))
+
+    def _known(self, number: int) -> dict[str, Any]:
+        """The list as a gateway's agent has it now, in the protocol's form; its dials as they stand."""
+        agent = self.agents[number]
+        seq = max([0, *(change.seq for change in agent.log)])
+        hosts = [line.shown(self._dial(line.host, number)) for line in agent.lines.values()]
+        return {"seq": seq, "whole": True, "hosts": hosts}
+
+    async def _start_gateway(self, gateway: GatewayProcess, known: dict[str, Any] | None = None) -> None:
+        number, udp = gateway.number, self.udp
+        known = known or self._known(number)
+        peers = [udp.address(number, other) for other in range(self.scenario.gateways)]
+        gateway.write(
+            {
+                "name": f"n{number}",
+                "listen": _text(gateway.listen),
+                "discovery": _text(self.servers[number].address),
+                "seed": secrets.token_hex(8),
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.scenario.sockets},
+                "peer_listen": _text(gateway.peer_listen),
+                "peers": [_text(peer) for peer in peers],
+                "peers_all": _text(udp.address(number, None)),
+                "known": known,
+                "settings": settings_of(self.scenario, number),
+            }
+        )
+        hosts = tuple((line["host"], line["health"], line["born_ms"]) for line in known["hosts"])
+        self.log.add(Told(self.clock(), number, known["seq"], True, hosts))
+        await gateway.start()
+        self.clients.down.discard(number)
+
+    # -- the day --------------------------------------------------------------------------------------------
+
+    async def run(self, progress: Progress | None = None) -> Log:
+        """Play the day: arrivals, faults, the wait for what is still on its way."""
+        await self.open()
+        heart = Heartbeat(self.clock, lambda at, until: self.log.add(Late(at, until)))
+        gc.collect()
+        gc.freeze()
+        gc.disable()  # guards the stand-ins' own times
+        try:
+            self.begin = self.clock() + int(SETTLE * 1e6)
+            self.log.add(Began(self.begin))
+            for work in (heart.run(), watch(self.gateways), self._arrive()):
+                self.tasks.append(self.loop.create_task(work))
+            faults = [self.loop.create_task(self._fault(n, f)) for n, f in enumerate(self.scenario.fault)]
+            self.tasks += faults
+            if progress:
+                self.tasks.append(self.loop.create_task(self._progress(progress)))
+            await self._until(self.begin + int(self.scenario.length_s * 1e6))
+            await self.clients.finish(max(c.deadline_ms for c in self.scenario.cls) / 1000 + 2)
+            for fault in faults:
+                if fault.done() and fault.exception():
+                    raise fault.exception()
+            self.log.add(Finished(self.clock()))
+        finally:
+            gc.enable()
+            gc.unfreeze()
+        return self.log
+
+    async def _until(self, at: int) -> None:
+        await asyncio.sleep(max(0, at - self.clock()) / 1e6)
+
+    async def _progress(self, progress: Progress) -> None:
+        while True:
+            progress(self)
+            await asyncio.sleep(0.5)
+
+    async def _arrive(self) -> None:
+        for arrival in self.arrivals:
+            moved = dataclasses.replace(arrival, at=arrival.at + self.begin)
+            if moved.at > self.clock():
+                await self._until(moved.at)
+            self.clients.start(moved)
+
+    async def close(self) -> None:
+        """End all that was started."""
+        for task in self.tasks:
+            task.cancel()
+        if self.clients:
+            self.clients.close()
+        await asyncio.gather(*(g.terminate() for g in self.gateways), return_exceptions=True)
+        if self.udp:
+            self.udp.close()
+        for server in self.servers:
+            server.close()
+        self.fleet.close()
+        await asyncio.sleep(0)
+
+    # -- news -----------------------------------------------------------------------------------------------
+
+    def publish(self, change: Change, delay: float = 0.0) -> None:
+        """A change of the registry travels to every agent, late but in order."""
+        for number in range(self.scenario.gateways):
+            lag = delay + self.random.uniform(*self.scenario.network.list_late_s)
+            at = max(self.loop.time() + lag, self.last_push[number])
+            self.last_push[number] = at + 1e-6
+            self.loop.call_at(at, self._push, number, change)
+
+    def _push(self, number: int, change: Change) -> None:
+        if self.servers[number].silent:
+            self.held[number].append(change)
+        else:
+            self.agents[number].receive(change)
+            self.servers[number].changed()
+
+    # -- faults ---------------------------------------------------------------------------------------------
+
+    async def _fault(self, number: int, fault: Fault) -> None:
+        await self._until(self.begin + int(fault.at * 1e6))
+        until = self.clock() + int(fault.for_s * 1e6) if fault.for_s else 0
+        detail = []
+        if fault.gateways or fault.kind in ("kill", "restart", "stop", "reload"):
+            detail.append("gateways " + " ".join(f"n{g.number}" for g in self._gateways(number, fault)))
+        if fault.kind.startswith("host_") or fault.kind == "links":
+            detail.append(f"{len(self._hosts(number, fault))} hosts")
+        if fault.kind == "links":
+            detail.append(fault.mode)
+        self.log.add(FaultBegan(self.clock(), fault.kind, until, ", ".join(detail)))
+        handler: Callable[[int, Fault], Awaitable[None]] | None = getattr(self, f"_{fault.kind}", None)
+        if handler:  # bursts and shifts are in the arrivals
+            await handler(number, fault)
+
+    def _gateways(self, number: int, fault: Fault) -> list[GatewayProcess]:
+        if fault.gateways:
+            return [self.gateways[g] for g in fault.gateways]
+        chosen = random.Random(f"{self.scenario.seed}:fault:{number}")
+        count = max(1, round((fault.share or 1.0) * len(self.gateways)))
+        return sorted(chosen.sample(self.gateways, count), key=lambda g: g.number)
+
+    def _hosts(self, number: int, fault: Fault) -> list[StandinHost]:
+        living = [host for host in self.fleet.hosts.values() if host.up]
+        if fault.hosts:
+            return [self.first[place] for place in fault.hosts]
+        if fault.rack >= 0:
+            return [host for host in living if host.rack_number == fault.rack]
+        if not fault.share or fault.kind == "host_spoils":
+            return living
+        chosen = random.Random(f"{self.scenario.seed}:fault:{number}")
+        return chosen.sample(living, max(1, round(fault.share * len(living))))
+
+    async def _front_notices(self, gateway: GatewayProcess, after: float) -> None:
+        await asyncio.sleep(after)
+        if not gateway.ready:
+            self.clients.down.add(gateway.number)
+
+    async def _kill(self, number: int, fault: Fault) -> None:
+        async def one(gateway: GatewayProcess) -> None:
+            await gateway.kill()
+            notice = self.loop.create_task(
+                self._front_notices(gateway, self.random.uniform(*self.scenario.clients.notice_s))
+            )
+            self.tasks.append(notice)
+            await asyncio.sleep(fault.for_s)
+            known = self.first_known[gateway.number] if fault.stale else None
+            await self._start_gateway(gateway, known)
+
+        await asyncio.gather(*(one(gateway) for gateway in self._gateways(number, fault)))
+
+    async def _restart(self, number: int, fault: Fault) -> None:
+        for gateway in self._gateways(number, fault):
+            self.loop.call_later(TERM_NOTICE, self.clients.down.add, gateway.number)
+            await gateway.terminate()
+            self.clients.down.add(gateway.number)
+            await asyncio.sleep(fault.for_s)
+            await self._start_gateway(gateway)
+            await asyncio.sleep(fault.gap_s)
+
+    async def _stop(self, number: int, fault: Fault) -> None:
+        chosen = self._gateways(number, fault)
+        for gateway in chosen:
+            gateway.signal(signal.SIGSTOP, "stop")
+        await asyncio.sleep(fault.for_s)
+        for gateway in chosen:
+            gateway.signal(signal.SIGCONT, "cont")
+
+    async def _reload(self, number: int, fault: Fault) -> None:
+        for _ in range(fault.count):
+            for gateway in self._gateways(number, fault):
+                if gateway.ready:
+                    server = self.servers[gateway.number]
+                    await server.listen()
+                    gateway.write(gateway.config | {"discovery": _text(server.address)})
+                    gateway.signal(signal.SIGHUP, "hup")
+            await asyncio.sleep(fault.gap_s)
+
+    async def _partition(self, number: int, fault: Fault) -> None:
+        everyone = range(self.scenario.gateways)
+        a = fault.a or (0,)
+        b = fault.b or tuple(g for g in everyone if g not in a)
+        ways = [(x, y) for x in a for y in b] + ([] if fault.one_way else [(y, x) for x in a for y in b])
+        for way in ways:
+            self.udp.ways[way].cut = True
+        await asyncio.sleep(fault.for_s)
+        for way in ways:
+            self.udp.ways[way].cut = False
+
+    async def _peer_noise(self, number: int, fault: Fault) -> None:
+        old = dict(self.udp.ways)
+        for way, plain in old.items():
+            self.udp.ways[way] = dataclasses.replace(plain, loss=fault.share or 0.2, double=0.1, reorder=0.2)
+        await asyncio.sleep(fault.for_s)
+        self.udp.ways.update(old)
+
+    async def _discovery_silent(self, number: int, fault: Fault) -> None:
+        chosen = [g.number for g in self._gateways(number, fault)]
+        for gateway in chosen:
+            self.servers[gateway].silence(True)
+        await asyncio.sleep(fault.for_s)
+        for gateway in chosen:
+            held, self.held[gateway] = self.held[gateway], []
+            if fault.shuffle:
+                self.random.shuffle(held)
+            for change in held:  # one by one, in this order, over some time
+                wait = self.random.uniform(0, LATE_EXTRA)
+                self.loop.call_later(wait, self._push, gateway, change)
+            self.servers[gateway].silence(False)
+        await asyncio.sleep(LATE_EXTRA)
+
+    async def _list_shrinks(self, number: int, fault: Fault) -> None:
+        names = sorted(self.registry.lines)
+        chosen = random.Random(f"{self.scenario.seed}:fault:{number}")
+        hidden = frozenset(chosen.sample(names, max(1, round((fault.share or 0.5) * len(names)))))
+        for hide in (hidden, frozenset()):
+            for agent, server in zip(self.agents, self.servers, strict=True):
+                agent.hidden, agent.shrunk = hide, True
+                server.changed()
+            if hide:
+                await asyncio.sleep(fault.for_s)
+
+    async def _host_dies(self, number: int, fault: Fault) -> None:
+        hosts = self._hosts(number, fault)
+        for host in hosts:
+            host.stop()
+            self.publish(self.registry.health(host.name, "DELETED"), NOTICED_DEAD)
+        if fault.for_s:
+            await asyncio.sleep(fault.for_s)
+            for host in hosts:
+                await host.start(cold=True)
+                self.publish(self.registry.put(self._line(host)))
+
+    async def _host_freezes(self, number: int, fault: Fault) -> None:
+        hosts = self._hosts(number, fault)
+        for host in hosts:
+            host.freeze()
+        await asyncio.sleep(fault.for_s)
+        for host in hosts:
+            host.thaw()
+
+    async def _host_silent(self, number: int, fault: Fault) -> None:
+        await self._on_links(number, fault, TcpFault("silent"))
+
+    async def _links(self, number: int, fault: Fault) -> None:
+        await self._on_links(number, fault, TcpFault(fault.mode, chance=fault.share or 1.0))
+
+    async def _on_links(self, number: int, fault: Fault, how: TcpFault) -> None:
+        # For links the share is the part of the connections that suffer, not of the hosts.
+        hosts = self._hosts(number, dataclasses.replace(fault, share=0.0) if fault.kind == "links" else fault)
+        for host in hosts:
+            for relay in host.relays:
+                relay.set(how)
+        await asyncio.sleep(fault.for_s)
+        for host in hosts:
+            for relay in host.relays:
+                relay.set(None if host.up else REFUSE)
+
+    async def _host_spoils(self, number: int, fault: Fault) -> None:
+        hosts = self._hosts(number, fault)
+        for host in hosts:
+            host.spoil = fault.share or 0.1
+        await asyncio.sleep(fault.for_s)
+        for host in hosts:
+            host.spoil = 0.0
+
+    async def _host_moves(self, number: int, fault: Fault) -> None:
+        for host in self._hosts(number, fault):
+            host.stop()
+            host.new_address()
+            await host.start(cold=True)
+            self.publish(self.registry.put(self._line(host)))
+
+    async def _deploy(self, number: int, fault: Fault) -> None:
+        hosts = [self.fleet.hosts[name] for name in list(self.registry.lines) if self.fleet.hosts[name].up]
+        hosts = hosts[: max(1, round((fault.share or 1.0) * len(hosts)))]
+        size = max(1, round(fault.batch * len(hosts)))
+        batches = [hosts[i : i + size] for i in range(0, len(hosts), size)]
+        step = fault.for_s / len(batches)
+
+        async def replace_one(host: StandinHost) -> None:
+            host.draining = True
+            self.publish(self.registry.health(host.name, "DRAINING"))
+            await asyncio.sleep(fault.drain_s)
+            host.stop()
+            self.publish(self.registry.health(host.name, "DELETED"))
+            new = await self.fleet.add(host.rack_number, cold=True)
+            self.publish(self.registry.put(self._line(new)))
+
+        tasks = []
+        for batch in batches:
+            tasks += [self.loop.create_task(replace_one(host)) for host in batch]
+            await asyncio.sleep(step)
+        await asyncio.gather(*tasks)
+
+
+def _text(address: tuple[str, int]) -> str:
+    return f"{address[0]}:{address[1]}"
+
+
+async def play(
+    scenario: Scenario, folder: Path, run: str | None = None, progress: Progress | None = None
+) -> tuple[Log, World]:
+    """One run from start to end; what it started is ended in any case."""
+    folder.mkdir(parents=True, exist_ok=True)
+    world = World(scenario, folder, run)
+    try:
+        log = await world.run(progress)
+    finally:
+        await world.close()
+    return log, world
--- /dev/null
+++ b/tests/faults/test_planted.py
@@ -0,0 +1,134 @@
+"""The checker catches each planted fault and names it rightly; the true gateway passes the same days."""
+
+from __future__ import annotations
+
+import shlex
+import sys
+
+import pytest
+
+import tomlform
+from standin import runs
+from standin.scenario import Scenario
+from tests.faults.variants import VARIANTS
+
+HEAVY = """
+name = "planted-heavy"
+length_s = 7
+[[plan]]
+name = "basico"
+customers = 60
+rate = 1.1
+burst = 5.5
+[[plan]]
+name = "amplio"
+customers = 8
+rate = 7.0
+burst = 13.0
+ceiling = 2.2
+heavy = 3
+spread = [3, 3]
+[expect]
+quota_slack = 0.3
+"""
+PLAIN = """
+name = "planted-plain"
+length_s = 6
+"""
+SPOILT = """
+name = "planted-spoilt"
+length_s = 7
+[[fault]]
+at = 0.5
+kind = "host_spoils"
+share = 0.12
+for_s = 6
+[[fault]]
+at = 1
+kind = "links"
+mode = "reset_after"
+share = 0.1
+for_s = 5
+"""
+DEPLOY = """
+name = "planted-deploy"
+length_s = 10
+[[fault]]
+at = 0.5
+kind = "deploy"
+share = 0.6
+batch = 0.34
+for_s = 4
+drain_s = 4
+"""
+COLD = """
+name = "planted-cold"
+length_s = 10
+[hosts]
+cold_s = 12.0
+[[fault]]
+at = 1
+kind = "host_moves"
+hosts = [3]
+"""
+
+# variant -> the day on which it shows, the rule that it breaks, others that its fault breaks with it
+PLANTED = {
+    "swallows-answers": (PLAIN, "answer", ()),
+    "answers-twice": (PLAIN, "answer", ()),
+    "answers-late": (PLAIN, "answer", ()),
+    "serves-foreign-values": (PLAIN, "answer", ()),
+    "sends-after-the-answer": (PLAIN, "answer", ("effect",)),
+    "closes-on-requests": (
+        PLAIN,
+        "answer",
+        ("effect",),
+    ),  # the client takes it for a crossing and sends again
+    "repeats-unsafe": (SPOILT, "effect", ()),
+    "repeats-keyed-anywhere": (SPOILT, "effect", ()),
+    "refuses-what-may-have-run": (SPOILT, "effect", ()),
+    "deaf-to-drains": (DEPLOY, "drain", ()),
+    "hears-of-drains-late": (DEPLOY, "drain", ()),
+    "cold-hosts-first": (COLD, "cold", ()),
+    "newest-host-gets-all": (COLD, "cold", ()),
+    "no-limits": (HEAVY, "ceiling", ("quota",)),
+    "whole-ceiling-each": (HEAVY, "ceiling", ("quota",)),
+    "deaf-to-peers": (HEAVY, "quota", ()),
+    "doubles-the-quota": (HEAVY, "quota", ()),
+    "ends-by-itself": (PLAIN, "running", ()),
+    "garbles-commands": (PLAIN, "form", ("effect",)),
+}
+
+
+def play(text: str, folder, variant: str | None = None) -> runs.Run:
+    scenario = tomlform.loads(Scenario, text)
+    line = variant and f"exec {shlex.quote(sys.executable)} -m tests.faults.variants {variant}"
+    return runs.run(scenario, folder, line)
+
+
+@pytest.mark.parametrize("variant", PLANTED)
+def test_each_planted_fault_is_caught_and_named(variant, tmp_path):
+    text, rule, others = PLANTED[variant]
+    done = play(text, tmp_path, variant)
+    assert done.verdict.outcome == "broken"
+    assert rule in done.verdict.rules()
+    assert done.verdict.rules() <= {rule, *others}
+    named = [f for f in done.verdict.findings if f.rule == rule and f.certain]
+    assert all(f.what and f.at > 0 for f in named)
+    assert any(f.evidence or f.request or f.gateway >= 0 for f in named)
+
+
+@pytest.mark.parametrize("text", [PLAIN, HEAVY, SPOILT, DEPLOY, COLD])
+def test_the_true_gateway_passes_the_same_days(text, tmp_path):
+    done = play(text, tmp_path)
+    assert [f for f in done.verdict.findings if f.certain] == []
+    assert done.verdict.outcome == "passed"
+
+
+def test_a_gateway_that_ignores_sigterm_is_named(tmp_path):
+    text = PLAIN + "[[fault]]\nat = 1\nkind = 'restart'\ngateways = [0]\n"
+    assert "running" in play(text, tmp_path, "ignores-sigterm").verdict.rules()
+
+
+def test_every_variant_is_played():
+    assert set(VARIANTS) == {*PLANTED, "ignores-sigterm"}
--- /dev/null
+++ b/tests/faults/variants.py
@@ -0,0 +1,275 @@
+"""Gateways with one planted fault each: ``python -m tests.faults.variants NAME`` in place of ``python -m saffrongw``.
+
+Each breaks one rule in a way that a real mistake might; the checker must catch it from outside and name it rightly.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+from collections.abc import Callable
+from dataclasses import replace
+
+from orchidlane import interface as api
+from orchidlane.rules import Gateway
+from saffrongw.gateway import driver as driving
+from saffrongw.gateway import hosts as hosting
+from saffrongw.gateway.driver import Attempt, Driver
+from saffrongw.gateway.process import run
+
+VARIANTS: dict[str, Callable[[], None]] = {}
+
+
+def variant(plant: Callable[[], None]) -> Callable[[], None]:
+    """Keep one under its name, with dashes."""
+    VARIANTS[plant.__name__.replace("_", "-")] = plant
+    return plant
+
+
+def every(number: int) -> Callable[[], bool]:
+    """True at each so many calls."""
+    count = 0
+
+    def due() -> bool:
+        nonlocal count
+        count += 1
+        return count % number == 0
+
+    return due
+
+
+def change_settings(**changes) -> None:
+    """The decisions are told other settings than the rest of the gateway: classes and plans by field."""
+    plain = Gateway.__init__
+
+    def init(self, settings, seed, now) -> None:
+        for name, change in changes.items():
+            settings = replace(settings, **{name: tuple(change(item) for item in getattr(settings, name))})
+        plain(self, settings, seed, now)
+
+    Gateway.__init__ = init
+
+
+# -- exactly one final answer in time --------------------------------------------------------------------
+
+
+@variant
+def swallows_answers() -> None:
+    due, plain = every(30), Driver._finish
+
+    def finish(self, call, reply) -> None:
+        if not call.finished and due():
+            self._close(call)
+        else:
+            plain(self, call, reply)
+
+    Driver._finish = finish
+
+
+@variant
+def answers_twice() -> None:
+    due, plain = every(30), Driver._finish
+    Driver._finish = lambda self, call, reply: plain(self, call, reply + reply if due() else reply)
+
+
+@variant
+def answers_late() -> None:
+    """Holds an answer until 0.2 s after its time."""
+    due, plain = every(20), Driver._finish
+
+    def finish(self, call, reply) -> None:
+        if call.finished or not due():
+            plain(self, call, reply)
+            return
+        self._close(call)
+        self._after(max(0, call.until - self.clock()) + 200_000, call.answer, reply)
+
+    Driver._finish = finish
+
+
+@variant
+def serves_foreign_values() -> None:
+    due, plain, last = every(25), Driver.attempt_ended, [b"$1\r\nx\r\n"]
+
+    def ended(self, attempt, outcome, value=None, report=()) -> None:
+        if value is not None:
+            last.append(value)
+            value = last[-2] if due() else value
+            del last[:-2]
+        plain(self, attempt, outcome, value, report)
+
+    Driver.attempt_ended = ended
+
+
+@variant
+def sends_after_the_answer() -> None:
+    due, plain = every(15), Driver._finish
+
+    def finish(self, call, reply) -> None:
+        first = not call.finished
+        plain(self, call, reply)
+        if first and call.attempts and due():
+            now = self.clock()
+            again = Attempt(call, len(call.attempts), call.attempts[0].server, now, now + 2_000_000)
+            self.loop.call_later(0.25, self.hosts.send, again)
+
+    Driver._finish = finish
+
+
+@variant
+def closes_on_requests() -> None:
+    """Closes a connection with a request on it that went to a host."""
+    due, plain = every(30), Driver._finish
+
+    def finish(self, call, reply) -> None:
+        if not call.finished and call.attempts and due():
+            self._close(call)
+            call.answer.__self__.client.transport.abort()
+        else:
+            plain(self, call, reply)
+
+    Driver._finish = finish
+
+
+# -- no effect twice -------------------------------------------------------------------------------------
+
+
+@variant
+def repeats_unsafe() -> None:
+    safe = api.Effect.SAFE
+    change_settings(classes=lambda c: replace(c, effect=safe) if c.effect is api.Effect.UNSAFE else c)
+
+
+@variant
+def repeats_keyed_anywhere() -> None:
+    change_settings(classes=lambda c: replace(c, group=api.Group.ALL))
+
+
+@variant
+def refuses_what_may_have_run() -> None:
+    Driver._DO[api.Fail] = lambda self, action: self._refuse(api.Refuse(action.request, 0))
+
+
+# -- drains ----------------------------------------------------------------------------------------------
+
+
+@variant
+def deaf_to_drains() -> None:
+    plain = Driver.listed
+
+    def listed(self, told, cached=False) -> None:
+        ready = api.Phase.READY
+        hosts = tuple(
+            replace(h, entry=replace(h.entry, phase=ready)) if h.entry.phase is api.Phase.DRAINING else h
+            for h in told.hosts
+        )
+        plain(self, replace(told, hosts=hosts), cached)
+
+    Driver.listed = listed
+
+
+@variant
+def hears_of_drains_late() -> None:
+    plain = Driver.listed
+
+    def listed(self, told, cached=False) -> None:
+        if cached:
+            plain(self, told, cached)
+        else:
+            self.loop.call_later(2.5, plain, self, told)
+
+    Driver.listed = listed
+
+
+# -- cold hosts ------------------------------------------------------------------------------------------
+
+
+@variant
+def cold_hosts_first() -> None:
+    def cold_one(self, request):
+        return next((host for host in self.cold.hosts if self._may_send(request, host)), None)
+
+    Gateway._cold_one = cold_one
+    Gateway._patience = lambda self, request: float("inf")
+
+
+@variant
+def newest_host_gets_all() -> None:
+    """Takes the host that started last to be the least loaded."""
+
+    def choose(self, request):
+        hosts = [h for h in (*self.warm.hosts, *self.cold.hosts) if self._may_send(request, h)]
+        return max(hosts, key=lambda host: host.entry.launched, default=None)
+
+    Gateway._choose = choose
+    Gateway._patience = lambda self, request: float("inf")
+
+
+# -- ceilings and quotas ---------------------------------------------------------------------------------
+
+
+@variant
+def no_limits() -> None:
+    change_settings(plans=lambda p: replace(p, rate=0.0, ceiling_rate=0.0))
+
+
+@variant
+def whole_ceiling_each() -> None:
+    change_settings(plans=lambda p: replace(p, rate=0.0))
+    Gateway._ceiling_part = lambda self, account: 1.0
+
+
+@variant
+def deaf_to_peers() -> None:
+    Gateway._peer_message = lambda self, event: None
+    Gateway._share = lambda self, account: 1.0
+
+
+@variant
+def doubles_the_quota() -> None:
+    """Takes the rate for one of its own and one of somebody else's; the ceiling still holds."""
+    change_settings(plans=lambda p: replace(p, rate=2 * p.rate))
+
+
+# -- running, form ---------------------------------------------------------------------------------------
+
+
+@variant
+def ends_by_itself() -> None:
+    due, plain = every(150), Driver.arrived
+
+    def arrived(self, *given):
+        if due():
+            os._exit(3)
+        return plain(self, *given)
+
+    Driver.arrived = arrived
+
+
+@variant
+def ignores_sigterm() -> None:
+    from saffrongw.gateway.clients import Clients
+
+    async def drain(self, accept_for) -> None:
+        import asyncio
+
+        await asyncio.sleep(60)
+
+    Clients.drain = drain
+
+
+@variant
+def garbles_commands() -> None:
+    due, plain = every(30), hosting.pack_request
+
+    def pack(attempt, now) -> bytes:
+        packed = plain(attempt, now)
+        return packed.replace(b"units=1", b"units=0") if due() else packed
+
+    hosting.pack_request = pack
+
+
+if __name__ == "__main__":
+    assert driving
+    VARIANTS[sys.argv[1]]()
+    sys.exit(run())
