--- a/orchidlane/interface.py
+++ b/orchidlane/interface.py
@@ -167,6 +167,21 @@
     is_repeat: bool
 
 
+@dataclass(frozen=True, slots=True)
+class CheckArrived:
+    """Another proxy asks whether it may send a request on: decided by quota and ceiling alone, at once."""
+
+    topic: ClassVar[str] = "check_arrived"
+
+    request: int
+    customer: int
+    plan: int
+    kind: int
+    units: float
+    set_first: int
+    set_size: int
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
     """An attempt's outcome; answered means that the request needs no more answer."""
@@ -251,6 +266,7 @@
 Event = (
     ServerListed
     | RequestArrived
+    | CheckArrived
     | AttemptEnded
     | StreamStarted
     | ClientGone
@@ -293,6 +309,13 @@
     request: int
 
 
+@dataclass(frozen=True, slots=True)
+class Admit:
+    """Answer to a check: it is let in, and its units are taken as by a first send."""
+
+    request: int
+
+
 @dataclass(frozen=True, slots=True)
 class SetTimer:
     """Ask for a TimerFired after a span."""
@@ -326,4 +349,4 @@
     """Ask discovery for the whole list once."""
 
 
-Action = Send | Cancel | Refuse | Fail | SetTimer | TellPeer | Probe | AskList | FetchList
+Action = Send | Cancel | Refuse | Fail | Admit | SetTimer | TellPeer | Probe | AskList | FetchList
--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -60,6 +60,17 @@
         self._advance(request)
         self._drop_idle()
 
+    def _check_arrived(self, event: api.CheckArrived) -> None:
+        """Who sends on by itself: what is let in takes its units exactly as a first send of ours does."""
+        request = Request(event, self.s.classes[event.kind], self.now)
+        if self._admits(request):
+            self._spend(request.account, event.units)
+            self.actions.append(api.Admit(event.request))
+        else:  # it asks for other people, and heeds what it is told: no limit as for our own clients
+            wait = request.back_in(self.s.plans, REOPEN, self.s.max_retry_after)
+            self.actions.append(api.Refuse(event.request, wait))
+        self._drop_idle()
+
     def _advance(self, request: Request) -> None:
         """The next step of a request that is owed an answer."""
         last_call = request.until - LEAVE
--- a/orchidlane/state.py
+++ b/orchidlane/state.py
@@ -121,7 +121,7 @@
 class Request:
     """A request that is owed an answer."""
 
-    event: api.RequestArrived
+    event: api.RequestArrived | api.CheckArrived
     cls: api.RequestClass
     until: int
     lot: float = 0.0  # drawn anew for each attempt: which cold server it may try
--- a/saffrongw/admin/cli.py
+++ b/saffrongw/admin/cli.py
@@ -13,28 +13,26 @@
 from saffrongw import operator
 from saffrongw.gateway import process
 from saffrongw.gateway.config import parse
-from saffrongw.gateway.plug import Plugs
+from saffrongw.wiring import plugs_of
 
 UNUSABLE = 2
 
 
-def plugs_of(file: operator.OperatorFile) -> Plugs:
-    """What an operator file switches on."""
-    return Plugs(time_share=file.stages.time_share)
-
-
 def serve(config: str | None = None, operator_file: str | None = None) -> int:
     """Run a gateway; without arguments LB_CONFIG and SAFFRONGW_OPERATOR name the files."""
     name = operator_file or os.environ.get("SAFFRONGW_OPERATOR")
     try:
-        plugs = plugs_of(operator.load(name)) if name else None
+        file = operator.load(name) if name else None
     except tomlform.FormError as wrong:
         return _wrong(wrong)
     if config is None and "LB_CONFIG" not in os.environ:
         return _wrong(
             "no configuration: name one with --config or LB_CONFIG (`make demo` shows a whole fleet)"
         )
-    return process.run(config, plugs)
+    try:
+        return process.run(config, (lambda read: plugs_of(file, read, name)) if file else None)
+    except tomlform.FormError as wrong:  # a name that the configuration does not have, or a file of TLS
+        return _wrong(f"{name}: {wrong}")
 
 
 def check(path: Path) -> int:
--- /dev/null
+++ b/saffrongw/authz/attributes.py
@@ -0,0 +1,254 @@
+"""A request's terms as the protocol's published attributes, and replies as verdicts. Pure.
+
+``docs/operate/authz.md`` has the table. Names of classes and plans are the settings'.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Hashable, Mapping, Sequence
+from dataclasses import dataclass
+
+from google.protobuf.message import DecodeError
+from google.protobuf.struct_pb2 import Struct
+
+from saffrongw.gateway.plug import StagedRequest
+
+from . import check_pb2 as pb
+from .checks import Kind, Reply
+
+METHOD = "/envoy.service.auth.v3.Authorization/Check"
+NAMESPACE = "saffrongw"  # of dynamic metadata that is read
+TEXT_MOST = 256  # characters of any text that is read
+RETRY_INFO = "type.googleapis.com/google.rpc.RetryInfo"
+OK, INVALID_ARGUMENT, EXHAUSTED, UNAVAILABLE = 0, 3, 8, 14  # codes of google.rpc.Status
+MS, SECOND = 1_000, 1_000_000
+RETRY_MOST = 3600 * SECOND
+COME_AGAIN = {429, 503}  # HTTP statuses after which trying again is of use
+
+
+class BadReply(Exception):
+    """What came is no usable answer; it says why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Names:
+    """Classes and plans by number, and which classes are safe to ask with GET."""
+
+    classes: tuple[str, ...]
+    plans: tuple[str, ...]
+    safe: tuple[bool, ...]
+
+    @classmethod
+    def of(cls, classes: Mapping[bytes, int], plans: Mapping[bytes, int], safe: Sequence[bool]) -> Names:
+        """From the gateway's configuration."""
+        return cls(_ordered(classes), _ordered(plans), tuple(safe))
+
+
+def _ordered(numbers: Mapping[bytes, int]) -> tuple[str, ...]:
+    return tuple(name.decode() for name, _ in sorted(numbers.items(), key=lambda item: item[1]))
+
+
+def key_of(request: StagedRequest) -> Hashable:
+    """What the answer may hang on: all that the authoriser is shown but the id, the time and the wait."""
+    terms = request.terms
+    return (
+        terms.customer,
+        terms.kind,
+        terms.plan,
+        terms.units,
+        terms.spread,
+        terms.first,
+        terms.is_repeat,
+        request.body_bytes,
+    )
+
+
+def check_of(request: StagedRequest, names: Names, gateway: str, at: int) -> bytes:
+    """The message that asks; at in us of Unix time."""
+    terms = request.terms
+    message = pb.CheckRequest()
+    attributes = message.attributes
+    attributes.source.principal = f"{terms.customer:016x}"
+    attributes.destination.service = gateway
+    attributes.request.time.seconds, rest = divmod(at, SECOND)
+    attributes.request.time.nanos = rest * 1000
+    http = attributes.request.http
+    http.id = request.client_id.decode("ascii", "replace")
+    http.method = "GET" if names.safe[terms.kind] else "POST"
+    http.path = "/" + names.classes[terms.kind]
+    http.host, http.scheme, http.protocol = gateway, "resp", "RESP2"
+    http.size = request.body_bytes
+    extensions = attributes.context_extensions
+    extensions["customer"] = f"{terms.customer:016x}"
+    extensions["class"] = names.classes[terms.kind]
+    extensions["plan"] = names.plans[terms.plan]
+    extensions["units"] = f"{terms.units:g}"
+    extensions["spread"], extensions["first"] = str(terms.spread), str(terms.first)
+    extensions["wait_ms"] = str(terms.wait // MS)
+    extensions["retry"] = "1" if terms.is_repeat else "0"
+    return message.SerializeToString()
+
+
+def reply_of(body: bytes) -> Reply:
+    """An answer as a reply; ``BadReply`` where it contradicts itself or can't be read."""
+    response = pb.CheckResponse()
+    try:
+        response.ParseFromString(body)
+    except DecodeError as wrong:
+        raise BadReply(f"not a CheckResponse: {wrong}") from None
+    code, which = response.status.code, response.WhichOneof("http_response")
+    told = _told(response.dynamic_metadata)
+    lifetime, plan = _lifetime(told), told.get("plan", "")
+    plan = plan if isinstance(plan, str) and len(plan) <= TEXT_MOST else ""
+    if code == OK:
+        if which == "denied_response":
+            raise BadReply("status OK with a denied response")
+        if which == "ok_response" and not told:  # where older authorisers put it
+            told = _told(response.ok_response.dynamic_metadata)
+            lifetime, plan = _lifetime(told), str(told.get("plan", ""))[:TEXT_MOST]
+        return Reply(Kind.ALLOW, 0, lifetime, plan)
+    if which == "ok_response":
+        raise BadReply(f"status {code} with an ok response")
+    status = response.denied_response.status.code if which else 0
+    retry = _retry_after(response)
+    if status in COME_AGAIN or (not status and code in (EXHAUSTED, UNAVAILABLE)):
+        return Reply(Kind.LATER, retry, lifetime)
+    return Reply(Kind.DENY, 0, lifetime)
+
+
+def _told(metadata: Struct) -> dict:
+    """Our part of the dynamic metadata, if there is one."""
+    field = metadata.fields.get(NAMESPACE)
+    if field is None or field.WhichOneof("kind") != "struct_value":
+        return {}
+    found: dict = {}
+    for name, value in field.struct_value.fields.items():
+        kind = value.WhichOneof("kind")
+        if kind == "number_value":
+            found[name] = value.number_value
+        elif kind == "string_value":
+            found[name] = value.string_value
+    return found
+
+
+def _lifetime(told: Mapping) -> int:
+    """``cache_ms`` in us; 0 where it is no time."""
+    value = told.get("cache_ms", 0)
+    if not isinstance(value, float | int) or not 0 < value < 1e9:
+        return 0
+    return int(value * MS)
+
+
+def _retry_after(response: pb.CheckResponse) -> int:
+    """When to come back, by RetryInfo or a ``retry-after`` header in seconds; 0 where it does not say."""
+    for detail in response.status.details[:16]:
+        if detail.type_url == RETRY_INFO:
+            info = pb.RetryInfo()
+            try:
+                info.ParseFromString(detail.value)
+            except DecodeError:
+                continue
+            return min(RETRY_MOST, max(0, info.retry_delay.seconds * SECOND + info.retry_delay.nanos // 1000))
+    for option in response.denied_response.headers[:64]:
+        if option.header.key.lower() == "retry-after":
+            text = option.header.value or option.header.raw_value.decode("ascii", "replace")
+            if text.isascii() and text.isdigit() and len(text) <= 9:
+                return min(RETRY_MOST, int(text) * SECOND)
+    return 0
+
+
+# -- the gateway as an authoriser -----------------------------------------------------------------------------------
+
+
+class BadRequest(Exception):
+    """A check that can't be decided; it says what is wrong with it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """What another proxy asks."""
+
+    customer: int
+    plan: int
+    kind: int
+    units: float
+    first: int
+    spread: int
+
+
+@dataclass(frozen=True, slots=True)
+class Fields:
+    """Which context extensions hold what."""
+
+    customer: str = "customer"
+    plan: str = "plan"
+    cls: str = "class"
+
+
+CUSTOMER_BITS = 33
+
+
+def asked_of(body: bytes, names: Names, fields: Fields, gateways: int, units_most: float) -> Asked:
+    """A check as terms, in the exact forms that a client's command has; ``BadRequest`` names what is not."""
+    message = pb.CheckRequest()
+    try:
+        message.ParseFromString(body)
+    except DecodeError as wrong:
+        raise BadRequest(f"not a CheckRequest: {wrong}") from None
+    extensions = message.attributes.context_extensions
+    customer = extensions.get(fields.customer) or message.attributes.source.principal
+    if (
+        len(customer) != 16
+        or not set(customer) <= set("0123456789abcdef")
+        or int(customer, 16) >> CUSTOMER_BITS
+    ):
+        raise BadRequest(f"{fields.customer} is not 16 hex digits below 2^33")
+    plan, cls = extensions.get(fields.plan, ""), extensions.get(fields.cls, "")
+    if plan not in names.plans:
+        raise BadRequest(f"{fields.plan} is no plan")
+    if cls not in names.classes:
+        raise BadRequest(f"{fields.cls} is no class")
+    units = extensions.get("units", "1")
+    if len(units) > 18 or not set(units) <= set("0123456789.") or units.count(".") > 1 or units in (".", ""):
+        raise BadRequest("units is no number")
+    if not 0 < float(units) <= units_most:
+        raise BadRequest("units is out of range")
+    spread, first = extensions.get("spread", str(gateways)), extensions.get("first", "0")
+    for name, text in (("spread", spread), ("first", first)):
+        if not (text.isascii() and text.isdigit()) or len(text) > 5:
+            raise BadRequest(f"{name} is no number")
+    if not 1 <= int(spread) <= gateways or not int(first) < gateways:
+        raise BadRequest("spread and first are out of range")
+    return Asked(
+        int(customer, 16),
+        names.plans.index(plan),
+        names.classes.index(cls),
+        float(units),
+        int(first),
+        int(spread),
+    )
+
+
+def let_in() -> bytes:
+    """The answer to a check that is let in: never to be kept, as each takes its units."""
+    response = pb.CheckResponse()
+    response.status.code = OK
+    response.ok_response.SetInParent()
+    return response.SerializeToString()
+
+
+def turned_away(retry_after: int) -> bytes:
+    """The answer to one that is not; retry_after in us, 0 says nothing."""
+    response = pb.CheckResponse()
+    response.status.code = EXHAUSTED
+    response.status.message = "over quota"
+    response.denied_response.status.code = 429
+    if retry_after:
+        info = pb.RetryInfo()
+        info.retry_delay.seconds, rest = divmod(retry_after, SECOND)
+        info.retry_delay.nanos = rest * 1000
+        detail = response.status.details.add()
+        detail.type_url, detail.value = RETRY_INFO, info.SerializeToString()
+        header = response.denied_response.headers.add().header
+        header.key, header.value = "retry-after", str(-(-retry_after // SECOND))
+    return response.SerializeToString()
--- /dev/null
+++ b/saffrongw/authz/server.py
@@ -0,0 +1,117 @@
+"""The gateway as an authoriser: Check answered by the decision module's quotas and ceilings, for other proxies.
+
+A check that is let in takes its units exactly as a first send does, on the same counts: both ways in together keep the
+quota. A check decides at once and holds nothing.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+
+import grpc
+
+from orchidlane import interface as api
+from saffrongw.gateway.extended import ExtendedDriver
+
+from .attributes import METHOD, BadRequest, Fields, Names, asked_of, let_in, turned_away
+from .channel import METADATA_MOST, REPLY_MOST, Tls
+
+log = logging.getLogger(__name__)
+
+STOP_WITHIN = 0.5  # seconds for checks that are being answered at the end
+OPTIONS = (
+    ("grpc.max_receive_message_length", REPLY_MOST),
+    ("grpc.max_metadata_size", METADATA_MOST),
+    ("grpc.max_concurrent_streams", 1000),
+    ("grpc.so_reuseport", 0),  # guards against two processes that share the port unseen
+    ("grpc.keepalive_time_ms", 30_000),
+    ("grpc.http2.min_ping_interval_without_data_ms", 5_000),
+)
+
+
+class AuthzServer:
+    """Listens from ``start`` to ``stop``."""
+
+    name = "authz_server"
+
+    def __init__(
+        self,
+        listen: str,
+        names: Names,
+        fields: Fields,
+        gateways: int,
+        units_most: float,
+        in_flight: int,
+        tls: Tls | None = None,
+    ) -> None:
+        self.listen, self.names, self.fields = listen, names, fields
+        self.gateways, self.units_most, self.in_flight, self.tls = gateways, units_most, in_flight, tls
+        self.counts: Counter[str] = Counter()
+        self.server: grpc.aio.Server | None = None
+        self.port = 0
+        self.stamp: tuple = ()
+
+    async def start(self, driver: ExtendedDriver) -> None:
+        """Listen; ``OSError`` where that is not possible."""
+        self.driver = driver
+        self.server = grpc.aio.server(options=OPTIONS, maximum_concurrent_rpcs=self.in_flight)
+        service, name = METHOD.strip("/").split("/")
+        handler = grpc.unary_unary_rpc_method_handler(self._check)
+        self.server.add_generic_rpc_handlers(
+            (grpc.method_handlers_generic_handler(service, {name: handler}),)
+        )
+        try:
+            self.port = self._bind()
+        except RuntimeError as wrong:
+            raise OSError(f"authz_server can't listen on {self.listen}: {wrong}") from None
+        if not self.port:
+            raise OSError(f"authz_server can't listen on {self.listen}")
+        await self.server.start()
+
+    def _bind(self) -> int:
+        if not self.tls:
+            return self.server.add_insecure_port(self.listen)
+        credentials = grpc.dynamic_ssl_server_credentials(
+            self._certificates(), self._changed, require_client_authentication=bool(self.tls.ca)
+        )
+        return self.server.add_secure_port(self.listen, credentials)
+
+    def _certificates(self) -> grpc.ServerCertificateConfiguration:
+        self.stamp = self.tls.stamp()
+        ca, cert, key = self.tls.read()
+        return grpc.ssl_server_certificate_configuration([(key, cert)], ca)
+
+    def _changed(self) -> grpc.ServerCertificateConfiguration | None:
+        """Asked at each handshake: new files serve new connections, what can't be read changes nothing."""
+        if self.tls.stamp() == self.stamp:
+            return None
+        try:
+            return self._certificates()
+        except OSError as wrong:
+            log.warning("authz_server: the old certificate stays: %s", wrong)
+            return None
+
+    async def _check(self, body: bytes, context: grpc.aio.ServicerContext) -> bytes:
+        try:
+            asked = asked_of(body, self.names, self.fields, self.gateways, self.units_most)
+        except BadRequest as wrong:
+            self.counts["bad"] += 1
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(wrong))
+        verdict = self.driver.decide(
+            asked.customer, asked.plan, asked.kind, asked.units, asked.first, asked.spread
+        )
+        if isinstance(verdict, api.Admit):
+            self.counts["let in"] += 1
+            return let_in()
+        if isinstance(verdict, api.Refuse):
+            self.counts["turned away"] += 1
+            return turned_away(verdict.retry_after)
+        self.counts["undecided"] += 1
+        await context.abort(grpc.StatusCode.UNAVAILABLE, "not decided")
+        raise AssertionError("abort raises")
+
+    async def stop(self) -> None:
+        """Take no more, end what is being answered."""
+        if self.server:
+            await self.server.stop(STOP_WITHIN)
--- /dev/null
+++ b/saffrongw/authz/stage.py
@@ -0,0 +1,238 @@
+"""The stage that asks an authoriser about each request, by ``checks.py``, over the channels of ``channel.py``."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
+
+from saffrongw.gateway.driver import Driver
+from saffrongw.gateway.plug import Ending, Fail, Pass, Refuse, StagedRequest, Verdict
+
+from .attributes import BadReply, Names, check_of, key_of, reply_of
+from .channel import Channel, ChannelError
+from .checks import Ask, CallOff, Checks, Effect, Figures, Hedge, Kind, Reply, Settle
+
+log = logging.getLogger(__name__)
+
+RETIRE_WITHIN, RETIRE_LOOK = (
+    10.0,
+    0.05,
+)  # seconds for checks out when figures change, between two looks at them
+
+
+@dataclass(frozen=True, slots=True)
+class Rules:
+    """What the operators say of replies: fail modes by (class, plan), "" for all; what may be narrowed."""
+
+    fail: str = "closed"
+    fail_for: Mapping[tuple[str, str], str] = None  # type: ignore[assignment]
+    may_narrow_plan: Mapping[str, tuple[str, ...]] = None  # type: ignore[assignment]
+
+    def mode(self, cls: str, plan: str) -> str:
+        """``open`` or ``closed`` where no authoriser was reached: the most exact line counts."""
+        table = self.fail_for or {}
+        for place in ((cls, plan), (cls, ""), ("", plan)):
+            if place in table:
+                return table[place]
+        return self.fail
+
+    def narrows(self, plan: str, to: str) -> bool:
+        """Whether an authoriser may put a request of one plan under another."""
+        return to in (self.may_narrow_plan or {}).get(plan, ())
+
+
+class Asker:
+    """Checks by one set of figures over one set of channels."""
+
+    def __init__(
+        self, figures: Figures, rules: Rules, names: Names, channels: list[Channel], gateway: str, seed: int
+    ) -> None:
+        self.rules, self.names, self.gateway, self.channels = rules, names, gateway, channels
+        self.loop = asyncio.get_running_loop()
+        self.checks = Checks(figures, [channel.name for channel in channels], seed)
+        self.waiting: dict[int, asyncio.Future[Verdict]] = {}
+        self.requests: dict[int, StagedRequest] = {}
+        self.out: dict[int, asyncio.Task] = {}  # by flight
+        self.messages: dict[int, bytes] = {}  # by flight, for hedges
+        self.timers: dict[int, asyncio.TimerHandle] = {}
+        self.warned = 0.0
+
+    async def close(self) -> None:
+        """Call off what is out and close the channels."""
+        self._run(self.checks.drop(self._now()))
+        await asyncio.gather(*(channel.close() for channel in self.channels), return_exceptions=True)
+
+    async def retire(self) -> None:
+        """Let what is out end by its own deadlines, then close."""
+        for _ in range(int(RETIRE_WITHIN / RETIRE_LOOK)):
+            if not self.checks.flights:
+                break
+            await asyncio.sleep(RETIRE_LOOK)
+        await self.close()
+
+    @staticmethod
+    def _now() -> int:
+        return time.monotonic_ns() // 1000
+
+    # -- requests -------------------------------------------------------------------------------------------------
+
+    def ask(self, request: StagedRequest) -> Verdict | asyncio.Future[Verdict]:
+        """Settled at once from the cache or where no check may be sent; else when the check has ended."""
+        number = request.number
+        left = request.terms.wait
+        effects = self.checks.enter(self._now(), number, key_of(request), left)
+        if len(effects) == 1 and isinstance(effects[0], Settle):
+            return self._verdict(request, effects[0].reply)
+        future: asyncio.Future[Verdict] = self.loop.create_future()
+        self.waiting[number], self.requests[number] = future, request
+        self._run(effects, request)
+        return future
+
+    def leave(self, number: int) -> None:
+        """The request is over: a check that nobody waits for is called off, and what it would say is not heard."""
+        self.waiting.pop(number, None)
+        if self.requests.pop(number, None):
+            self._run(self.checks.leave(number))
+
+    def _verdict(self, request: StagedRequest, reply: Reply) -> Verdict:
+        """By the rules: a denial is a refusal only if trying again is harmless and useful. Nothing was sent yet, so it
+        is harmless; the authoriser says whether it is of use."""
+        terms = request.terms
+        plan = self.names.plans[terms.plan]
+        if reply.kind is Kind.ALLOW:
+            if reply.plan and reply.plan != plan and self.rules.narrows(plan, reply.plan):
+                return Pass({"plan": self.names.plans.index(reply.plan)})
+            return Pass()
+        if reply.kind is Kind.LATER:
+            return Refuse(reply.retry_after)
+        if reply.kind is Kind.DENY:
+            return Fail()
+        return Pass() if self.rules.mode(self.names.classes[terms.kind], plan) == "open" else Refuse()
+
+    # -- effects --------------------------------------------------------------------------------------------------
+
+    def _run(self, effects: list[Effect], request: StagedRequest | None = None) -> None:
+        for effect in effects:
+            if isinstance(effect, Settle):
+                future, of = self.waiting.pop(effect.request, None), self.requests.pop(effect.request, None)
+                if future and of and not future.done():
+                    future.set_result(self._verdict(of, effect.reply))
+            elif isinstance(effect, Ask):
+                if request is not None:
+                    at = time.time_ns() // 1000
+                    self.messages[effect.flight] = check_of(request, self.names, self.gateway, at)
+                task = self.loop.create_task(self._ask(effect, self.messages[effect.flight]))
+                self.out[effect.flight] = task
+            elif isinstance(effect, CallOff):
+                self._forget(effect.flight, cancel=True)
+            elif isinstance(effect, Hedge):
+                self.timers[effect.flight] = self.loop.call_later(
+                    effect.after / 1e6, self._hedge, effect.flight
+                )
+
+    def _hedge(self, flight: int) -> None:
+        self.timers.pop(flight, None)
+        message = self.messages.get(flight)
+        for effect in self.checks.hedge(self._now(), flight):
+            self.messages[effect.flight] = message
+            self._run([effect])
+
+    def _forget(self, flight: int, cancel: bool = False) -> None:
+        self.messages.pop(flight, None)
+        task, timer = self.out.pop(flight, None), self.timers.pop(flight, None)
+        if task and cancel:
+            task.cancel()
+        if timer:
+            timer.cancel()
+
+    async def _ask(self, ask: Ask, message: bytes) -> None:
+        """One check, from its first byte to its one end."""
+        try:
+            async with asyncio.timeout(ask.within / 1e6):
+                body = await self.channels[ask.endpoint].check(message, ask.within / 1e6)
+            reply = reply_of(body)
+        except (ChannelError, BadReply, TimeoutError) as wrong:
+            why = "deadline" if isinstance(wrong, TimeoutError) else getattr(wrong, "kind", "bad reply")
+            self._forget(ask.flight)
+            self._warn(ask, wrong)
+            self._run(self.checks.failed(self._now(), ask.flight, why))
+        else:
+            self._forget(ask.flight)
+            self._run(self.checks.answered(self._now(), ask.flight, reply))
+
+    def _warn(self, ask: Ask, wrong: Exception) -> None:
+        """One line a second at most: an authoriser that is away fails every check."""
+        if self.loop.time() - self.warned >= 1:
+            self.warned = self.loop.time()
+            name = self.channels[ask.endpoint].name
+            log.warning("authz: no answer of %s: %.200s", name, str(wrong) or type(wrong).__name__)
+
+
+class AuthzStage:
+    """The stage of one gateway, and a service of its process. Figures, rules and channels can change in service: what
+    is out ends by the old ones."""
+
+    name = "authz"
+
+    def __init__(
+        self,
+        figures: Figures,
+        rules: Rules,
+        names: Names,
+        channels: Callable[[], list[Channel]],
+        gateway: str,
+        seed: int,
+    ) -> None:
+        self.names, self.gateway, self.seed = names, gateway, seed
+        self.figures, self.rules, self.make = figures, rules, channels
+        self.asker: Asker | None = None
+        self.askers: dict[int, Asker] = {}  # by request that waits
+        self.retiring: set[asyncio.Task] = set()
+        self.fallback: Verdict = Refuse()
+
+    async def start(self, driver: Driver | None = None) -> None:
+        """Open the channels; nothing is waited for: an authoriser may come up later than the gateway."""
+        self._begin()
+
+    def _begin(self) -> None:
+        # What holds where this stage itself fails or the stages' share of time is over.
+        self.fallback = Pass() if self.rules.fail == "open" else Refuse()
+        self.asker = Asker(self.figures, self.rules, self.names, self.make(), self.gateway, self.seed)
+
+    def change(self, figures: Figures, rules: Rules, channels: Callable[[], list[Channel]]) -> None:
+        """From now on by these; ``OSError`` where a file of TLS can't be read, and then nothing has changed."""
+        old, kept = self.asker, (self.figures, self.rules, self.make)
+        self.figures, self.rules, self.make = figures, rules, channels
+        try:
+            self._begin()
+        except OSError:
+            self.figures, self.rules, self.make = kept
+            self.fallback = Pass() if self.rules.fail == "open" else Refuse()
+            raise
+        if old:
+            task = asyncio.get_running_loop().create_task(old.retire())
+            self.retiring.add(task)
+            task.add_done_callback(self.retiring.discard)
+
+    def on_request(self, request: StagedRequest) -> Verdict | Awaitable[Verdict]:
+        """A verdict at once, or when the check has ended."""
+        asker = self.asker
+        verdict = asker.ask(request)
+        if isinstance(verdict, asyncio.Future):
+            self.askers[request.number] = asker
+        return verdict
+
+    def on_end(self, request: StagedRequest, ending: Ending) -> None:
+        """The request is over."""
+        if asker := self.askers.pop(request.number, None):
+            asker.leave(request.number)
+
+    async def stop(self) -> None:
+        """Call off what is out and close the channels."""
+        for task in self.retiring:
+            task.cancel()
+        if self.asker:
+            await self.asker.close()
--- a/saffrongw/gateway/extended.py
+++ b/saffrongw/gateway/extended.py
@@ -12,6 +12,7 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import ClassVar
 
 from orchidlane import interface as api
 
@@ -59,6 +60,9 @@
         self.plugs = plugs
         super().__init__(settings, seed, loop)
         self.runs: dict[Call, Run] = {}  # for as long as their calls are open
+        self.decided: dict[
+            int, api.Admit | api.Refuse | None
+        ] = {}  # checks for others that are being decided
         self.leaving: Call | None = None  # whose client has just gone
         self.faults: Counter[str] = Counter()  # by stage or observer
         if plugs.observers:
@@ -206,6 +210,30 @@
             except Exception as wrong:
                 self._faulty(stage, wrong)
 
+    # -- decisions for others -------------------------------------------------------------------------------
+
+    def decide(
+        self, customer: int, plan: int, kind: int, units: float, first: int, spread: int
+    ) -> api.Admit | api.Refuse | None:
+        """Whether a request that somebody else sends on is let in, by the same counts; None: not decided."""
+        self.last_number += 1
+        number = self.last_number
+        self.decided[number] = None
+        self.feed(api.CheckArrived(number, customer, plan, kind, units, first, spread))
+        return self.decided.pop(number)
+
+    def _admit(self, action: api.Admit) -> None:
+        if action.request in self.decided:
+            self.decided[action.request] = action
+
+    def _refuse(self, action: api.Refuse) -> None:
+        if action.request in self.decided:
+            self.decided[action.request] = action
+        else:
+            super()._refuse(action)
+
+    _DO: ClassVar = Driver._DO | {api.Admit: _admit, api.Refuse: _refuse}
+
     # -- observers ------------------------------------------------------------------------------------------
 
     def _tell_observers(self, what: str, *args) -> None:
--- a/saffrongw/gateway/plug.py
+++ b/saffrongw/gateway/plug.py
@@ -6,14 +6,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import Any, Protocol
 
 from orchidlane import interface as api
 
-from .driver import Attempt, Call, Terms
+from .driver import Attempt, Call, Driver, Terms
 
 MS = 1_000  # microseconds
 MAY_CHANGE = frozenset({"plan", "wait"})  # of a request's terms: a plan by its number, a shorter wait
@@ -102,16 +102,28 @@
     until: int
 
 
+class Service(Protocol):
+    """A part with a life of its own: started before clients are served, stopped after the last of them."""
+
+    async def start(self, driver: Driver) -> None:
+        """Begin; what can't begin raises ``OSError`` or ``ValueError`` with a plain cause."""
+
+    async def stop(self) -> None:
+        """End, within a second or two."""
+
+
 @dataclass(frozen=True, slots=True)
 class Plugs:
     """All that is plugged in; time_share is the part of a request's time that all stages together may take."""
 
     stages: tuple[Stage, ...] = ()
     observers: tuple[Observer, ...] = ()
+    services: tuple[Service, ...] = ()
     time_share: float = 0.4
+    again: Callable[[], None] | None = None  # on SIGHUP: read the operator file anew; it raises nothing
 
     def __bool__(self) -> bool:
-        return bool(self.stages or self.observers)
+        return bool(self.stages or self.observers or self.services)
 
 
 def apply(verdict: Any, terms: Terms, plans: int) -> Terms | Refuse | Fail:
--- a/saffrongw/gateway/process.py
+++ b/saffrongw/gateway/process.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
 
@@ -97,12 +98,16 @@
             lambda: Peers(driver, config.peers, config.settings.rank), local_addr=config.peer_listen
         )
     driver.start(config.known)
+    for service in plugs.services if plugs else ():
+        await service.start(driver)
     watch = Watch(loop, config.discovery, config.zones, driver.listed)
     watch.start()
 
     def hang_up() -> None:
         nonlocal config
         config = reload(path, config, watch)
+        if plugs and plugs.again:
+            plugs.again()
 
     loop.add_signal_handler(signal.SIGHUP, hang_up)
     clients = Clients(driver, config, client_sockets)
@@ -111,6 +116,8 @@
     gc.freeze()  # what is loaded by now stays: it need not be looked through again
     await stop.wait()
     await clients.drain(ACCEPT_FOR)
+    for service in plugs.services if plugs else ():
+        await service.stop()
 
 
 def start_log() -> None:
@@ -119,7 +126,7 @@
     logging.getLogger().handlers[0].addFilter(Bounded())
 
 
-def run(path: str | None = None, plugs: Plugs | None = None) -> int:
+def run(path: str | None = None, plug: Callable[[Config], Plugs] | None = None) -> int:
     """Read the configuration and serve; one plain line and 1 where it is wrong. Without a path LB_CONFIG names it."""
     start_log()
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the watch runs there is nothing to move
@@ -129,5 +136,9 @@
     except UNUSABLE as wrong:
         print(f"saffrongw: no usable configuration: {wrong!r}", file=sys.stderr)
         return 1
-    uvloop.run(serve(config, file, plugs))
+    try:
+        uvloop.run(serve(config, file, plug(config) if plug else None))
+    except OSError as wrong:
+        print(f"saffrongw: can't serve: {wrong}", file=sys.stderr)
+        return 1
     return 0
--- a/saffrongw/operator/file.py
+++ b/saffrongw/operator/file.py
@@ -1,4 +1,4 @@
-"""The tables of the operator file and their bounds. A subsystem adds a dataclass here and reads nothing else."""
+"""The tables of the operator file and their bounds. A subsystem adds its dataclasses here and reads nothing else."""
 
 from __future__ import annotations
 
@@ -8,6 +8,9 @@
 import tomlform
 from tomlform import key
 
+ADDRESS = r"[A-Za-z0-9.\-]{1,253}:[0-9]{1,5}"
+MODES = ("open", "closed")
+
 
 @dataclass(frozen=True, slots=True)
 class StagesTable:
@@ -16,11 +19,105 @@
     time_share: float = key(0.4, least=0.01, most=0.9, about="of a request's time, for all stages together")
 
 
+@dataclass(frozen=True, slots=True)
+class TlsTable:
+    """Files of TLS, PEM; they are read again when they change."""
+
+    ca: str = tomlform.key(
+        "", about="authorities that the other side's certificate must come from; empty: the system's"
+    )
+    cert: str = tomlform.key("", about="our own certificate")
+    key: str = tomlform.key("", about="its key")
+    server_name: str = tomlform.key("", about="the name that the other side must prove; empty: its address")
+
+    def __post_init__(self) -> None:
+        if bool(self.cert) != bool(self.key):
+            raise ValueError("cert and key stand together or not at all")
+
+
+@dataclass(frozen=True, slots=True)
+class FailTable:
+    """``[[authz.fail_for]]``: another mode for a class, a plan, or both."""
+
+    mode: str = key(choices=MODES)
+    class_: str = key("")
+    plan: str = key("")
+
+    def __post_init__(self) -> None:
+        if not self.class_ and not self.plan:
+            raise ValueError("class, plan or both are needed; for all there is authz.fail")
+
+
+@dataclass(frozen=True, slots=True)
+class NarrowTable:
+    """``[[authz.narrow]]``: an authoriser may put requests of this plan under one of those."""
+
+    plan: str = key()
+    to: tuple[str, ...] = key()
+
+
+@dataclass(frozen=True, slots=True)
+class BreakerTable:
+    """``[authz.breaker]``: when an authoriser is left alone, and for how long."""
+
+    window_ms: int = key(2000, least=10, most=600_000)
+    least: int = key(10, least=1, most=1000)
+    share: float = key(0.5, least=0.01, most=1)
+    in_a_row: int = key(5, least=1, most=1000)
+    open_ms: int = key(1000, least=10, most=600_000)
+    open_most_ms: int = key(15_000, least=10, most=3_600_000)
+    trials: int = key(1, least=1, most=100)
+    successes: int = key(2, least=1, most=100)
+
+
+@dataclass(frozen=True, slots=True)
+class AuthzTable:
+    """``[authz]``: ask an authoriser about each request."""
+
+    authorisers: tuple[str, ...] = key(form=ADDRESS, about="HOST:PORT, asked by health and load")
+    fail: str = key("closed", choices=MODES, about="where none was reached")
+    fail_for: tuple[FailTable, ...] = key(())
+    narrow: tuple[NarrowTable, ...] = key(())
+    time_share: float = key(0.25, least=0.01, most=0.9, about="of a request's own time that a check may take")
+    timeout_ms: int = key(500, least=1, most=60_000, about="and never longer")
+    in_flight: int = key(
+        256, least=1, most=10_000, about="checks out at once; beyond it the fail mode counts at once"
+    )
+    cache_entries: int = key(10_000, least=0, most=1_000_000)
+    cache_most_ms: int = key(60_000, least=0, most=3_600_000, about="of the lifetime that an answer states")
+    coalesce: bool = key(True, about="equal checks that are out together are asked once")
+    hedge_ms: int = key(0, least=0, most=60_000, about="after which a second authoriser is asked; 0: never")
+    tls: TlsTable | None = key(None)
+    breaker: BreakerTable = key(BreakerTable())
+
+    def __post_init__(self) -> None:
+        if not self.authorisers:
+            raise ValueError("authorisers is empty")
+        if len(set(self.authorisers)) < len(self.authorisers):
+            raise ValueError("an authoriser stands twice")
+
+
+@dataclass(frozen=True, slots=True)
+class AuthzServerTable:
+    """``[authz_server]``: answer Check for other proxies by the gateway's own quotas."""
+
+    listen: str = key(form=ADDRESS)
+    in_flight: int = key(1000, least=1, most=100_000, about="checks at once; beyond it UNAVAILABLE")
+    customer: str = key(
+        "customer", about="the context extension that holds the customer, else source.principal"
+    )
+    plan: str = key("plan")
+    class_: str = key("class")
+    tls: TlsTable | None = key(None, about="cert and key are needed; with ca clients must prove themselves")
+
+
 @dataclass(frozen=True, slots=True)
 class OperatorFile:
-    """All tables; those that do not stand in the file keep their defaults."""
+    """All tables; a subsystem whose table does not stand in the file is off."""
 
     stages: StagesTable = key(StagesTable())
+    authz: AuthzTable | None = key(None)
+    authz_server: AuthzServerTable | None = key(None)
 
 
 def load(path: Path | str) -> OperatorFile:
--- /dev/null
+++ b/saffrongw/wiring.py
@@ -0,0 +1,152 @@
+"""What an operator file switches on, put together. Each subsystem is imported only where its table stands."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import replace
+
+from saffrongw.gateway.config import Config
+from saffrongw.gateway.plug import Plugs, Service, Stage
+from saffrongw.operator import OperatorFile, load
+from saffrongw.operator.file import AuthzServerTable, AuthzTable, TlsTable
+from tomlform import FormError
+
+log = logging.getLogger(__name__)
+
+MS = 1_000
+
+
+def plugs_of(file: OperatorFile, config: Config, path: str = "") -> Plugs:
+    """The stages and services; ``FormError`` where the file names what the configuration does not have."""
+    stages: list[Stage] = []
+    services: list[Service] = []
+    stage = None
+    if file.authz:
+        stage = _authz(file.authz, config)
+        stages.append(stage)
+        services.append(stage)
+    if file.authz_server:
+        services.append(_authz_server(file.authz_server, config))
+    again = Again(path, file, config, stage) if path else None
+    return Plugs(tuple(stages), (), tuple(services), file.stages.time_share, again)
+
+
+class Again:
+    """SIGHUP: the operator file read anew. All of it is valid and takes effect, or none, and the old one stays."""
+
+    def __init__(self, path: str, file: OperatorFile, config: Config, stage) -> None:
+        self.path, self.file, self.config, self.stage = path, file, config, stage
+
+    def __call__(self) -> None:
+        try:
+            new = load(self.path)
+            built = plugs_of(new, self.config)
+            if self.stage and new.authz and new.authz != self.file.authz:
+                made = built.stages[0]
+                self.stage.change(made.figures, made.rules, made.make)
+        except (FormError, OSError, ValueError) as wrong:
+            log.warning("reload: the operator file that was read first stays: %s", wrong)
+            return
+        fixed = (self.file.stages, bool(self.file.authz), self.file.authz_server)
+        if fixed != (new.stages, bool(new.authz), new.authz_server):
+            log.warning(
+                "reload: [stages], [authz_server] and what is switched on or off wait for the next start"
+            )
+        self.file = replace(self.file, authz=new.authz if self.stage and new.authz else self.file.authz)
+
+
+def _library(table: str) -> None:
+    try:
+        import google.protobuf  # noqa: F401
+        import grpc  # noqa: F401
+    except ImportError as missing:
+        raise FormError(f"{table} needs the extra saffrongw[authz]: {missing}") from None
+
+
+def _names(config: Config):
+    from orchidlane.interface import Effect
+    from saffrongw.authz.attributes import Names
+
+    safe = [c.effect is Effect.SAFE for c in config.settings.classes]
+    return Names.of(config.classes, config.plans, safe)
+
+
+def _tls(table: TlsTable | None):
+    from saffrongw.authz.channel import Tls
+
+    return Tls(table.ca, table.cert, table.key, table.server_name) if table else None
+
+
+def _authz(table: AuthzTable, config: Config):
+    _library("authz")
+    from saffrongw.authz.breaker import BreakerFigures
+    from saffrongw.authz.channel import Channel
+    from saffrongw.authz.checks import Figures
+    from saffrongw.authz.stage import AuthzStage, Rules
+
+    names = _names(config)
+    for place, line in enumerate(table.fail_for):
+        if line.class_ and line.class_ not in names.classes:
+            raise FormError(
+                f"authz.fail_for[{place}].class: {line.class_!r} is no class of the configuration"
+            )
+        if line.plan and line.plan not in names.plans:
+            raise FormError(f"authz.fail_for[{place}].plan: {line.plan!r} is no plan of the configuration")
+    for place, line in enumerate(table.narrow):
+        for plan in (line.plan, *line.to):
+            if plan not in names.plans:
+                raise FormError(f"authz.narrow[{place}]: {plan!r} is no plan of the configuration")
+    b = table.breaker
+    breaker = BreakerFigures(
+        b.window_ms * MS,
+        b.least,
+        b.share,
+        b.in_a_row,
+        b.open_ms * MS,
+        b.open_most_ms * MS,
+        b.trials,
+        b.successes,
+    )
+    figures = Figures(
+        table.time_share,
+        table.timeout_ms * MS,
+        min(table.timeout_ms, 5) * MS,
+        table.in_flight,
+        table.cache_entries,
+        table.cache_most_ms * MS,
+        table.coalesce,
+        table.hedge_ms * MS,
+        breaker,
+    )
+    rules = Rules(
+        table.fail,
+        {(line.class_, line.plan): line.mode for line in table.fail_for},
+        {line.plan: line.to for line in table.narrow},
+    )
+    tls = _tls(table.tls)
+    return AuthzStage(
+        figures,
+        rules,
+        names,
+        lambda: [Channel(address, tls) for address in table.authorisers],
+        "saffrongw",
+        config.seed,
+    )
+
+
+def _authz_server(table: AuthzServerTable, config: Config):
+    _library("authz_server")
+    from saffrongw.authz.attributes import Fields
+    from saffrongw.authz.server import AuthzServer
+
+    if table.tls and not table.tls.cert:
+        raise FormError("authz_server.tls: cert and key are needed")
+    return AuthzServer(
+        table.listen,
+        _names(config),
+        Fields(table.customer, table.plan, table.class_),
+        config.settings.gateways,
+        config.units_most,
+        table.in_flight,
+        _tls(table.tls),
+    )
--- a/standin/arrivals.py
+++ b/standin/arrivals.py
@@ -133,6 +133,12 @@
     return [Arrival(a.at, number, a.customer, a.cls, a.key, a.tries) for number, a in enumerate(found, 1)]
 
 
+def denied(scenario: Scenario, customer: int) -> bool:
+    """Whether the authorisers of a scenario deny a customer."""
+    share = scenario.authoriser.deny if scenario.authoriser.count else 0.0
+    return share > 0 and random.Random(f"{scenario.seed}:deny:{customer}").random() < share
+
+
 def digest(arrivals: list[Arrival]) -> str:
     """A short name for a list of arrivals: equal lists have equal names on every machine."""
     hashed = hashlib.sha256()
--- /dev/null
+++ b/standin/authoriser.py
@@ -0,0 +1,265 @@
+"""A stand-in authoriser: Envoy's published Check over HTTP/2, with faults below the level of any gRPC library.
+
+It speaks by ``h2`` (frames) and ``xds-protos`` (the published messages), and shares no code with the gateway.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import h2.config
+import h2.connection
+import h2.errors
+import h2.events
+import h2.exceptions
+import h2.settings
+from envoy.service.auth.v3 import external_auth_pb2 as published
+
+PATH = "/envoy.service.auth.v3.Authorization/Check"
+MODES = (
+    "answer",  # as decided
+    "delay",  # the same, later
+    "hang",  # headers of an answer, then nothing
+    "silent",  # not even those
+    "half",  # half of a message, then nothing
+    "reset",  # RST_STREAM
+    "goaway",  # GOAWAY, then the connection ends
+    "twice",  # two messages
+    "metadata",  # 1 MB of headers
+    "status",  # a grpc-status that does not exist
+    "lies",  # allowed and denied at once
+    "noise",  # bytes that are no message
+)
+HEAD = [(":status", "200"), ("content-type", "application/grpc")]
+
+
+@dataclass(slots=True)
+class Asked:
+    """One check that came, as the published message has it."""
+
+    at: float
+    request: published.CheckRequest
+    mode: str
+    answered: bool = False
+
+    @property
+    def id(self) -> str:
+        """The client's id of the request."""
+        return self.request.attributes.request.http.id
+
+
+@dataclass(slots=True)
+class Behaviour:
+    """What it does: each mode with its chance, the rest is answered; delays in seconds."""
+
+    chances: dict[str, float] = field(default_factory=dict)
+    delay: tuple[float, float] = (0.05, 0.05)
+    window_shut: bool = False  # nobody may send it a body
+
+
+def allow(cache_ms: float = 0, plan: str = "") -> published.CheckResponse:
+    """An answer that lets on."""
+    response = published.CheckResponse()
+    response.status.code = 0
+    response.ok_response.SetInParent()
+    told = response.dynamic_metadata.get_or_create_struct("saffrongw") if cache_ms or plan else None
+    if told is not None:
+        if cache_ms:
+            told["cache_ms"] = cache_ms
+        if plan:
+            told["plan"] = plan
+    return response
+
+
+def deny(status: int = 403, retry_after: int | None = None, cache_ms: float = 0) -> published.CheckResponse:
+    """An answer that does not; retry_after in seconds."""
+    response = published.CheckResponse()
+    response.status.code = 8 if status == 429 else 7
+    response.denied_response.status.code = status
+    if retry_after is not None:
+        option = response.denied_response.headers.add()
+        option.header.key, option.header.value = "retry-after", str(retry_after)
+    if cache_ms:
+        response.dynamic_metadata.get_or_create_struct("saffrongw")["cache_ms"] = cache_ms
+    return response
+
+
+def framed(body: bytes) -> bytes:
+    """A message with gRPC's prefix: not compressed, its length."""
+    return b"\x00" + len(body).to_bytes(4, "big") + body
+
+
+class _Connection(asyncio.Protocol):
+    def __init__(self, server: Authoriser) -> None:
+        self.server = server
+        config = h2.config.H2Configuration(client_side=False, header_encoding="utf-8")
+        self.http = h2.connection.H2Connection(config)
+        # Huffman codes of a megabyte in Python would hold up the loop that all stand-ins share.
+        self.http.encoder.encode = functools.partial(self.http.encoder.encode, huffman=False)
+        self.bodies: dict[int, bytearray] = {}
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+        self.server.connections.add(self)
+        self.server.connected += 1
+        self.http.initiate_connection()
+        if self.server.behaviour.window_shut:
+            self.http.update_settings({h2.settings.SettingCodes.INITIAL_WINDOW_SIZE: 0})
+        self.flush()
+
+    def flush(self) -> None:
+        """Write what the state machine has to say."""
+        if self.transport and not self.transport.is_closing() and (data := self.http.data_to_send()):
+            self.transport.write(data)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            events = self.http.receive_data(data)
+        except h2.exceptions.ProtocolError:
+            self.transport.abort()
+            return
+        for event in events:
+            if isinstance(event, h2.events.RequestReceived):
+                self.bodies[event.stream_id] = bytearray()
+                if dict(event.headers).get(":path") != PATH:
+                    self.server.odd += 1
+            elif isinstance(event, h2.events.DataReceived):
+                self.http.acknowledge_received_data(event.flow_controlled_length, event.stream_id)
+                if event.stream_id in self.bodies:
+                    self.bodies[event.stream_id] += event.data
+            elif isinstance(event, h2.events.StreamReset):
+                self.bodies.pop(event.stream_id, None)
+                self.server.called_off += 1
+            if isinstance(event, h2.events.StreamEnded) and event.stream_id in self.bodies:
+                self.server.asked_on(self, event.stream_id, bytes(self.bodies.pop(event.stream_id)))
+        self.flush()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.server.connections.discard(self)
+
+    def reply(self, stream: int, body: bytes, status: str = "0", copies: int = 1) -> bool:
+        """A whole answer; False where the stream is over."""
+        try:
+            self.http.send_headers(stream, HEAD)
+            self.http.send_data(stream, framed(body) * copies)
+            self.http.send_headers(stream, [("grpc-status", status)], end_stream=True)
+        except h2.exceptions.ProtocolError:
+            return False
+        self.flush()
+        return True
+
+
+class Authoriser:
+    """A listener that decides checks, and misbehaves by seed."""
+
+    def __init__(
+        self,
+        decide: Callable[[published.CheckRequest], published.CheckResponse] = lambda request: allow(),
+        seed: str = "authoriser",
+        behaviour: Behaviour | None = None,
+    ) -> None:
+        self.decide, self.random = decide, random.Random(seed)
+        self.behaviour = behaviour or Behaviour()
+        self.loop = asyncio.get_running_loop()
+        self.asked: list[Asked] = []
+        self.counts: Counter[str] = Counter()
+        self.connections: set[_Connection] = set()
+        self.connected = self.called_off = self.odd = 0
+        self.server: asyncio.Server | None = None
+        self.port = 0
+        self.ssl = None
+
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        return f"127.0.0.1:{self.port}"
+
+    async def start(self) -> Authoriser:
+        """Listen, at the same port as before if there was one."""
+        self.server = await self.loop.create_server(
+            lambda: _Connection(self), "127.0.0.1", self.port, ssl=self.ssl
+        )
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    def stop(self) -> None:
+        """As if killed: connections end, new ones are refused."""
+        if self.server:
+            self.server.close()
+            self.server = None
+        for connection in list(self.connections):
+            connection.transport.abort()
+
+    async def restart(self, after: float) -> None:
+        """GOAWAY on all connections, then away for some time."""
+        for connection in list(self.connections):
+            connection.http.close_connection()
+            connection.flush()
+        self.stop()
+        await asyncio.sleep(after)
+        await self.start()
+
+    def _mode(self) -> str:
+        lot = self.random.random()
+        for mode, chance in self.behaviour.chances.items():
+            if lot < chance:
+                return mode
+            lot -= chance
+        return "answer"
+
+    def asked_on(self, connection: _Connection, stream: int, data: bytes) -> None:
+        """A check has come whole."""
+        request = published.CheckRequest()
+        request.ParseFromString(data[5:])
+        asked = Asked(self.loop.time(), request, self._mode())
+        self.asked.append(asked)
+        self.counts[asked.mode] += 1
+        if asked.mode == "delay":
+            wait = self.random.uniform(*self.behaviour.delay)
+            self.loop.call_later(wait, self._answer, connection, stream, asked)
+        else:
+            self._answer(connection, stream, asked)
+
+    def _answer(self, connection: _Connection, stream: int, asked: Asked) -> None:
+        http, mode = connection.http, asked.mode
+        if connection.transport.is_closing():
+            return
+        body = self.decide(asked.request).SerializeToString()
+        try:
+            if mode in ("answer", "delay"):
+                asked.answered = connection.reply(stream, body)
+            elif mode == "hang":
+                http.send_headers(stream, HEAD)
+            elif mode == "half":
+                http.send_headers(stream, HEAD)
+                http.send_data(stream, framed(body + b"\x00" * 64)[:20])
+            elif mode == "reset":
+                http.reset_stream(stream, h2.errors.ErrorCodes.INTERNAL_ERROR)
+            elif mode == "goaway":
+                http.close_connection()
+                connection.flush()
+                connection.transport.close()
+            elif mode == "twice":
+                connection.reply(stream, body, copies=2)
+            elif mode == "metadata":
+                many = [(f"x-{n}", "y" * 4000) for n in range(256)]
+                http.send_headers(stream, [*HEAD, *many])
+                http.send_data(stream, framed(body))
+                http.send_headers(stream, [("grpc-status", "0")], end_stream=True)
+            elif mode == "status":
+                connection.reply(stream, body, status="57")
+            elif mode == "lies":
+                lie = deny()
+                lie.status.code = 0
+                connection.reply(stream, lie.SerializeToString())
+            elif mode == "noise":
+                connection.reply(stream, b"\xff\xff\xff\xff\x07noise")
+        except h2.exceptions.ProtocolError:
+            return
+        connection.flush()
--- a/standin/checker.py
+++ b/standin/checker.py
@@ -50,6 +50,7 @@
     "cold": "no cold host pushed over",
     "ceiling": "ceilings hold over all gateways together",
     "quota": "quotas hold over all gateways together, within the stated slack",
+    "denial": "nothing is sent on for a customer that the authorisers deny",
     "running": "no gateway ends unless told to",
     "form": "hosts get only commands of the protocol's form",
     "service": "the scenario's own share of service",
@@ -253,6 +254,7 @@
         self._effects()
         self._drains()
         self._cold()
+        self._denials()
         uses = self._uses()
         self._running()
         service, plans, classes, totals = self._service()
@@ -532,6 +534,17 @@
                 )
                 break
 
+    def _denials(self) -> None:
+        """Where an authoriser that is not reached lets nothing on, a customer that is denied gets nothing on at all."""
+        if not self.s.authoriser.count or self.s.authoriser.fail != "closed":
+            return
+        for attempts in self.attempts.values():
+            first = attempts[0]
+            if drawn.denied(self.s, first.customer):
+                what = f"sent on for customer {first.customer}, whom the authorisers deny"
+                where = {"request": first.request, "gateway": first.gateway, "host": first.host}
+                self._find("denial", first.began, what, **where)
+
     def _uses(self) -> list[Use]:
         """Rule 5 and quotas: each request's first attempt that came whole takes its units."""
         uses = {
@@ -640,7 +653,7 @@
             at = self.begin + arrival.at
             store, before = stores.get(arrival.customer.number, (plan.burst, self.begin))
             store = min(plan.burst, store + plan.rate * (at - before) / SECOND)
-            inside = store >= 1
+            inside = store >= 1 and not drawn.denied(self.s, arrival.customer.number)
             stores[arrival.customer.number] = (store - inside, at)
             worth = cls.worth * plan.price
             answered = served.get(arrival.intent)
--- a/standin/processes.py
+++ b/standin/processes.py
@@ -63,6 +63,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.config: dict[str, Any] = {}
         self.path = folder / f"n{number}.json"
+        self.variables: dict[str, str] = {}  # more of its environment
         self.follower: asyncio.Task | None = None
         self.ready = self.ending = False
         self.lives = 0
@@ -83,6 +84,7 @@
             "LB_DISCOVERY": self.config["discovery"],
             "LB_CONFIG": str(self.path),
             "TMPDIR": str(self.folder),
+            **self.variables,
         }
         self.lives += 1
         self.ready = self.ending = False
--- a/standin/scenario.py
+++ b/standin/scenario.py
@@ -29,6 +29,9 @@
     "host_moves": "hosts start anew, cold, under their ids at other addresses",
     "deploy": "hosts are replaced by new ones, batch at a time within for_s; each drains for drain_s first",
     "links": "connections to hosts suffer mode for for_s",
+    "authoriser_faults": "part (share) of the checks meet a fault of any kind at the authorisers for for_s",
+    "authoriser_hangs": "authorisers take checks and say nothing for for_s",
+    "authoriser_restarts": "authorisers end with GOAWAY and are back after for_s, count times, gap_s apart",
     "burst": "arrivals come at times the usual rate for for_s",
     "shift": "part of the customers move their weight to other gateways at one stroke",
 }
@@ -114,6 +117,19 @@
     skew: float = key(0.7, least=0)
 
 
+@dataclass(frozen=True, slots=True)
+class Authoriser:
+    """External authorisers that every gateway asks; count 0: none."""
+
+    count: int = key(0, least=0, most=8)
+    deny: float = key(0.0, least=0, most=1, about="share of the customers that are denied")
+    fail: str = key("closed", choices=("open", "closed"))
+    timeout_ms: int = key(250, least=1)
+    cache_ms: float = key(0.0, least=0, about="lifetime that its answers state")
+    delay_ms: Span = key((0.0, 4.0), least=0)
+    open_most_ms: int = key(2000, least=10)
+
+
 @dataclass(frozen=True, slots=True)
 class Fault:
     """One entry of the timeline."""
@@ -173,6 +189,7 @@
     hosts: Hosts = key(Hosts())
     network: Network = key(Network())
     clients: Clients = key(Clients())
+    authoriser: Authoriser = key(Authoriser())
     fault: tuple[Fault, ...] = key(())
     expect: Expect = key(Expect())
 
@@ -194,6 +211,8 @@
             for place in (*fault.gateways, *fault.a, *fault.b):
                 if place >= self.gateways:
                     raise ValueError(f"fault[{number}] names gateway {place}, there are {self.gateways}")
+            if fault.kind.startswith("authoriser") and not self.authoriser.count:
+                raise ValueError(f"fault[{number}] needs authorisers, authoriser.count is 0")
             for place in fault.hosts:
                 if place >= self.hosts.count:
                     raise ValueError(f"fault[{number}] names host {place}, there are {self.hosts.count}")
@@ -290,3 +309,13 @@
 def settings_text(scenario: Scenario, rank: int) -> str:
     """The same as JSON."""
     return json.dumps(settings_of(scenario, rank))
+
+
+def operator_text(scenario: Scenario, addresses: list[str]) -> str:
+    """The operator file of gateways that ask these authorisers."""
+    a = scenario.authoriser
+    names = ", ".join(f'"{address}"' for address in addresses)
+    return (
+        f'[authz]\nauthorisers = [{names}]\nfail = "{a.fail}"\ntimeout_ms = {a.timeout_ms}\n'
+        f"[authz.breaker]\nopen_most_ms = {a.open_most_ms}\n"
+    )
--- a/standin/world.py
+++ b/standin/world.py
@@ -22,7 +22,7 @@
 from .record import Fault as FaultBegan
 from .registry import Agent, Change, Line, Registry
 from .relay import TcpFault, UdpRelay, Way
-from .scenario import Fault, Scenario, settings_of
+from .scenario import Fault, Scenario, operator_text, settings_of
 
 REFUSE = TcpFault("refuse")
 NOTICED_DEAD = 1.0  # seconds until the registry sees that a process has gone, before its news travel
@@ -52,6 +52,7 @@
         self.udp: UdpRelay | None = None
         self.clients: ClientSide | None = None
         self.first: list[StandinHost] = []
+        self.authorisers: list[Any] = []
         self.tasks: list[asyncio.Task] = []
         self.begin = 0
         self.first_known: list[dict[str, Any]] = []
@@ -80,6 +81,8 @@
             await server.listen()
             self.servers.append(server)
             self.gateways.append(GatewayProcess(number, self.folder, self.clock, self.log, self.run_line))
+        if s.authoriser.count:
+            await self._open_authorisers()
         way = Way((s.network.peer_ms[0] / 1000, s.network.peer_ms[1] / 1000), s.network.peer_loss)
         self.udp = UdpRelay([g.peer_listen for g in self.gateways], f"{s.seed}:udp", way)
         await self.udp.open()
@@ -87,6 +90,25 @@
         self.first_known = [self._known(g.number) for g in self.gateways]
         await asyncio.gather(*(self._start_gateway(g) for g in self.gateways))
 
+    async def _open_authorisers(self) -> None:
+        from .authoriser import Authoriser, Behaviour, allow, deny  # only here: it needs libraries of its own
+
+        a = self.scenario.authoriser
+
+        def decide(request):
+            customer = int(request.attributes.context_extensions["customer"], 16)
+            denied = drawn.denied(self.scenario, customer)
+            return deny(cache_ms=a.cache_ms) if denied else allow(cache_ms=a.cache_ms)
+
+        self.plain = Behaviour({"delay": 1.0}, (a.delay_ms[0] / 1000, a.delay_ms[1] / 1000))
+        for number in range(a.count):
+            seed = f"{self.scenario.seed}:authoriser:{number}"
+            self.authorisers.append(await Authoriser(decide, seed, self.plain).start())
+        path = self.folder / "operator.toml"
+        path.write_text(operator_text(self.scenario, [one.address for one in self.authorisers]))
+        for gateway in self.gateways:
+            gateway.variables["SAFFRONGW_OPERATOR"] = str(path)
+
     def _line(self, host: StandinHost) -> Line:
         return Line(host.name, host.zone, host.rack_number, "SERVING", host.born_ms)
 
@@ -180,8 +202,8 @@
         await asyncio.gather(*(g.terminate() for g in self.gateways), return_exceptions=True)
         if self.udp:
             self.udp.close()
-        for server in self.servers:
-            server.close()
+        for server in (*self.servers, *self.authorisers):
+            (server.close if server in self.servers else server.stop)()
         self.fleet.close()
         await asyncio.sleep(0)
 
@@ -377,6 +399,32 @@
             await host.start(cold=True)
             self.publish(self.registry.put(self._line(host)))
 
+    async def _authoriser_faults(self, number: int, fault: Fault) -> None:
+        from .authoriser import MODES, Behaviour
+
+        faults = [mode for mode in MODES if mode not in ("answer", "delay")]
+        chances = {mode: (fault.share or 0.3) / len(faults) for mode in faults} | {"delay": 1.0}
+        for one in self.authorisers:
+            one.behaviour = Behaviour(chances, self.plain.delay)
+        await asyncio.sleep(fault.for_s)
+        for one in self.authorisers:
+            one.behaviour = self.plain
+
+    async def _authoriser_hangs(self, number: int, fault: Fault) -> None:
+        from .authoriser import Behaviour
+
+        for one in self.authorisers:
+            one.behaviour = Behaviour({"silent": 1.0})
+        await asyncio.sleep(fault.for_s)
+        for one in self.authorisers:
+            one.behaviour = self.plain
+
+    async def _authoriser_restarts(self, number: int, fault: Fault) -> None:
+        for _ in range(fault.count):
+            for one in self.authorisers:
+                await one.restart(fault.for_s)
+            await asyncio.sleep(fault.gap_s)
+
     async def _deploy(self, number: int, fault: Fault) -> None:
         hosts = [self.fleet.hosts[name] for name in list(self.registry.lines) if self.fleet.hosts[name].up]
         hosts = hosts[: max(1, round((fault.share or 1.0) * len(hosts)))]
--- /dev/null
+++ b/tests/authz/test_server.py
@@ -0,0 +1,194 @@
+"""The gateway as an authoriser, asked by an independent library with the published messages."""
+
+from __future__ import annotations
+
+import contextlib
+
+import grpclib
+import pytest
+from conftest import SITE, FakeHost, Rig, asyncio_test, error
+from envoy.service.auth.v3 import external_auth_pb2 as published
+from grpclib.client import Channel, UnaryUnaryMethod
+from grpclib.const import Cardinality, Handler
+from grpclib.server import Server
+from test_stage import NAMES, World
+
+from saffrongw.authz.attributes import METHOD, Fields
+from saffrongw.authz.server import AuthzServer
+from saffrongw.gateway.extended import ExtendedDriver
+from saffrongw.gateway.plug import Plugs
+
+
+def question(**changes) -> published.CheckRequest:
+    request = published.CheckRequest()
+    fields = {"customer": "0000000000000009", "plan": "team", "class": "read", "spread": "1"} | changes
+    for name, value in fields.items():
+        if value is not None:
+            request.attributes.context_extensions[name] = value
+    return request
+
+
+@contextlib.asynccontextmanager
+async def served(in_flight=100, **changes):
+    """A gateway that answers checks: the rig, and how to ask."""
+    host = await FakeHost("a").listen()
+    server = AuthzServer("127.0.0.1:0", NAMES, Fields(), 2, 1.0, in_flight)
+    rig = Rig(host, driver=lambda *given: ExtendedDriver(*given, Plugs((), (), (server,))), **changes)
+    await server.start(rig.driver)
+    channel = Channel("127.0.0.1", server.port)
+    method = UnaryUnaryMethod(channel, METHOD, published.CheckRequest, published.CheckResponse)
+
+    async def ask(**fields):
+        return await method(question(**fields), timeout=5)
+
+    try:
+        yield rig, server, ask
+    finally:
+        channel.close()
+        await server.stop()
+
+
+def plan(rate: float, burst: float, hard=0.0) -> dict:
+    package = SITE["packages"][0] | {"perSecond": rate, "peakUnits": burst}
+    return {"packages": [package | {"hardRate": hard, "capDepth": 3.0 if hard else 0.0, "capSlack": 1.0}]}
+
+
+@asyncio_test
+async def test_checks_are_let_in_up_to_the_quota_and_then_told_when_to_come_back():
+    async with served(**plan(0.5, 4.0)) as (_, server, ask):
+        answers = [await ask() for _ in range(6)]
+        assert [a.status.code for a in answers] == [0, 0, 0, 0, 8, 8]
+        assert answers[0].WhichOneof("http_response") == "ok_response"
+        assert answers[4].denied_response.status.code == 429
+        assert dict(server.counts) == {"let in": 4, "turned away": 2}
+
+
+@asyncio_test
+async def test_a_refusal_says_when_if_that_is_within_what_the_settings_allow():
+    async with served(**plan(4.0, 2.0)) as (_, _, ask):
+        answers = [await ask() for _ in range(4)]
+        late = [a for a in answers if a.status.code == 8]
+        assert late
+        headers = {o.header.key: o.header.value for o in late[0].denied_response.headers}
+        assert headers == {"retry-after": "1"}
+        assert late[0].status.details[0].type_url.endswith("google.rpc.RetryInfo")
+
+
+@asyncio_test
+async def test_both_ways_in_share_one_quota():
+    async with served(**plan(0.01, 6.0)) as (rig, _, ask):
+        caller = await rig.caller()
+        for number in range(3):
+            terms = b"c=read,t=team,d=900,units=1,spread=1,first=0"
+            caller.ask(b"CALL.GET", b"0000000000000009", b"n%d" % number, terms)
+            await caller.replied(number + 1)
+        answers = [(await ask()).status.code for _ in range(4)]
+        assert answers == [0, 0, 8, 8]
+        caller.ask(b"CALL.GET", b"0000000000000009", b"last", terms)
+        assert error((await caller.replied(4))[3]).startswith("BUSY")
+
+
+@asyncio_test
+async def test_customers_do_not_share():
+    async with served(**plan(0.01, 2.0)) as (_, _, ask):
+        for customer in ("0000000000000001", "0000000000000002"):
+            codes = [(await ask(customer=customer)).status.code for _ in range(3)]
+            assert codes == [0, 0, 8]
+
+
+@pytest.mark.parametrize(
+    ("fields", "why"),
+    [
+        ({"customer": "9"}, "customer"),
+        ({"customer": "ffffffffffffffff"}, "customer"),
+        ({"customer": None}, "customer"),
+        ({"plan": "gold"}, "plan is no plan"),
+        ({"class": None}, "class is no class"),
+        ({"units": "nan"}, "units is no number"),
+        ({"units": "1e9"}, "units is no number"),
+        ({"units": "0"}, "units is out of range"),
+        ({"units": "1.1.1"}, "units is no number"),
+        ({"spread": "0"}, "out of range"),
+        ({"spread": "-1"}, "spread is no number"),
+        ({"first": "2"}, "out of range"),
+    ],
+)
+def test_what_cannot_be_decided_is_an_error_that_says_why_and_takes_nothing(fields, why):
+    @asyncio_test
+    async def check():
+        async with served() as (rig, server, ask):
+            with pytest.raises(grpclib.GRPCError) as wrong:
+                await ask(**fields)
+            assert wrong.value.status is grpclib.Status.INVALID_ARGUMENT
+            assert why in wrong.value.message
+            assert rig.driver.gateway.accounts == {}
+            assert server.counts["bad"] == 1
+
+    check()
+
+
+@asyncio_test
+async def test_a_fault_of_the_decisions_is_unavailable_and_not_let_in():
+    async with served() as (rig, _, ask):
+        rig.driver.gateway._admits = lambda request: 1 / 0
+        with pytest.raises(grpclib.GRPCError) as wrong:
+            await ask()
+        assert wrong.value.status is grpclib.Status.UNAVAILABLE
+        assert rig.driver.decided == {}
+
+
+@asyncio_test
+async def test_a_port_that_is_taken_is_told_plainly():
+    async with served() as (rig, server, _):
+        second = AuthzServer(f"127.0.0.1:{server.port}", NAMES, Fields(), 2, 1.0, 10)
+        with pytest.raises(OSError, match="can't listen on"):
+            await second.start(rig.driver)
+
+
+@asyncio_test
+async def test_our_client_and_a_server_of_the_independent_library_understand_each_other():
+    asked = []
+
+    async def check(stream) -> None:
+        request = await stream.recv_message()
+        asked.append(request)
+        response = published.CheckResponse()
+        response.ok_response.SetInParent()
+        await stream.send_message(response)
+
+    class Service:
+        def __mapping__(self):
+            return {
+                METHOD: Handler(
+                    check, Cardinality.UNARY_UNARY, published.CheckRequest, published.CheckResponse
+                )
+            }
+
+    server = Server([Service()])
+    await server.start("127.0.0.1", 0)
+
+    class Listening:
+        address = f"127.0.0.1:{server._server.sockets[0].getsockname()[1]}"
+
+        @staticmethod
+        def stop() -> None:
+            server.close()
+
+    world = await World().open(Listening)
+    caller = await world.caller()
+    caller.call("bill", number=b"id1")
+    assert await caller.replied() == [b"ok"]
+    assert asked[0].attributes.request.http.path == "/bill"
+    await world.close()
+    await server.wait_closed()
+
+
+@asyncio_test
+async def test_the_end_answers_what_is_there_and_takes_no_more():
+    async with served() as (_, server, ask):
+        await ask()
+        await server.stop()
+        with pytest.raises(
+            (grpclib.GRPCError, OSError, TimeoutError, grpclib.exceptions.StreamTerminatedError)
+        ):
+            await ask()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -185,6 +185,12 @@
     return b"*3\r\n$%d\r\n%b\r\n$-1\r\n%b" % (len(body), body, last)
 
 
+def error(reply) -> str:
+    """The text of an error reply."""
+    assert isinstance(reply, hiredis.ReplyError)
+    return str(reply)
+
+
 class HostPeer(asyncio.Protocol):
     """A host on loopback: keeps the commands it got, answers by ``script`` (None: not at all)."""
 
--- a/tests/faults/test_planted.py
+++ b/tests/faults/test_planted.py
@@ -72,6 +72,14 @@
 hosts = [3]
 """
 
+DENIED = """
+name = "planted-denied"
+length_s = 5
+[authoriser]
+count = 1
+deny = 0.3
+"""
+
 # variant -> the day on which it shows, the rule that it breaks, others that its fault breaks with it
 PLANTED = {
     "swallows-answers": (PLAIN, "answer", ()),
@@ -95,6 +103,8 @@
     "whole-ceiling-each": (HEAVY, "ceiling", ("quota",)),
     "deaf-to-peers": (HEAVY, "quota", ()),
     "doubles-the-quota": (HEAVY, "quota", ()),
+    "ignores-denials": (DENIED, "denial", ()),
+    "sends-before-the-check": (DENIED, "denial", ()),
     "ends-by-itself": (PLAIN, "running", ()),
     "garbles-commands": (PLAIN, "form", ("effect",)),
 }
@@ -118,7 +128,7 @@
     assert any(f.evidence or f.request or f.gateway >= 0 for f in named)
 
 
-@pytest.mark.parametrize("text", [PLAIN, HEAVY, SPOILT, DEPLOY, COLD])
+@pytest.mark.parametrize("text", [PLAIN, HEAVY, SPOILT, DEPLOY, COLD, DENIED])
 def test_the_true_gateway_passes_the_same_days(text, tmp_path):
     done = play(text, tmp_path)
     assert [f for f in done.verdict.findings if f.certain] == []
--- a/tests/faults/variants.py
+++ b/tests/faults/variants.py
@@ -12,10 +12,10 @@
 
 from orchidlane import interface as api
 from orchidlane.rules import Gateway
+from saffrongw.__main__ import main
 from saffrongw.gateway import driver as driving
 from saffrongw.gateway import hosts as hosting
 from saffrongw.gateway.driver import Attempt, Driver
-from saffrongw.gateway.process import run
 
 VARIANTS: dict[str, Callable[[], None]] = {}
 
@@ -231,6 +231,27 @@
     change_settings(plans=lambda p: replace(p, rate=2 * p.rate))
 
 
+# -- external authorisation ----------------------------------------------------------------------------
+
+
+@variant
+def ignores_denials() -> None:
+    from saffrongw.authz.stage import Asker
+    from saffrongw.gateway.plug import Pass
+
+    Asker._verdict = lambda self, request, reply: Pass()
+
+
+@variant
+def sends_before_the_check() -> None:
+    """Asks only now and then, and sends the others on meanwhile."""
+    from saffrongw.authz.stage import AuthzStage
+    from saffrongw.gateway.plug import Pass
+
+    due, plain = every(4), AuthzStage.on_request
+    AuthzStage.on_request = lambda self, request: Pass() if due() else plain(self, request)
+
+
 # -- running, form ---------------------------------------------------------------------------------------
 
 
@@ -272,4 +293,4 @@
 if __name__ == "__main__":
     assert driving
     VARIANTS[sys.argv[1]]()
-    sys.exit(run())
+    sys.exit(main())
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -12,7 +12,7 @@
 
 import hiredis
 import pytest
-from conftest import SITE, Caller, FakeHost, Rig, asyncio_test, until, value
+from conftest import SITE, Caller, FakeHost, Rig, asyncio_test, error, until, value
 
 from orchidlane import interface as api
 from saffrongw.gateway.clients import IDLE_LEAST, SWEEP, WAITING_MOST
@@ -21,11 +21,6 @@
 from saffrongw.gateway.process import LOG_MOST, Bounded
 
 
-def error(reply) -> str:
-    assert isinstance(reply, hiredis.ReplyError)
-    return str(reply)
-
-
 @asyncio_test
 async def test_a_host_gets_the_command_unchanged_but_for_the_time_left():
     host = await FakeHost("a").listen()
--- a/tests/gateway/test_stages.py
+++ b/tests/gateway/test_stages.py
@@ -5,8 +5,7 @@
 import asyncio
 
 import pytest
-from conftest import FakeHost, Rig, asyncio_test, until
-from test_gateway import error
+from conftest import FakeHost, Rig, asyncio_test, error, until
 
 from saffrongw.gateway.driver import Terms
 from saffrongw.gateway.extended import ExtendedDriver
--- a/tomlform/__init__.py
+++ b/tomlform/__init__.py
@@ -85,7 +85,8 @@
         if not isinstance(raw, dict):
             raise self.wrong(place, f"a table is needed, not {_kind(raw)}")
         hints = typing.get_type_hints(schema)
-        fields = {f.name: f for f in dataclasses.fields(schema)}  # type: ignore[arg-type]
+        # A field's last underscore only keeps it apart from Python's own words.
+        fields = {f.name.rstrip("_"): f for f in dataclasses.fields(schema)}  # type: ignore[arg-type]
         for name in raw:
             if name not in fields:
                 close = difflib.get_close_matches(name, fields, 1)
@@ -95,7 +96,7 @@
         values = {}
         for name, spec in fields.items():
             if name in raw:
-                values[name] = self.value(hints[name], spec.metadata, raw[name], (*place, name))
+                values[spec.name] = self.value(hints[spec.name], spec.metadata, raw[name], (*place, name))
             elif spec.default is dataclasses.MISSING and spec.default_factory is dataclasses.MISSING:
                 raise self.wrong(place, f"the key {name!r} is missing")
         try:
