A ledger of unrepeatable requests: durable before the first byte, classed after a crash

Need: after a crash operators could not tell a subscriber whether a billed report was issued.

Change: saffrongw/ledger gates sends of unsafe classes until their intent is on the disk (SQLite, WAL, synchronous=FULL, one writer thread with group commit, a checksum for each row), classes what older lives left open by a truth table, sends nothing because of it; saffrongw ledger show, find, open, explain, export, verify, backup, import. A disk that fails, a second process or an unknown schema refuse unsafe requests at once and harmlessly; others are served.

--- a/saffrongw/admin/cli.py
+++ b/saffrongw/admin/cli.py
@@ -83,7 +83,16 @@
     look = commands.add_parser("check", help="validate an operator file or a configuration")
     look.add_argument("file", type=Path)
     commands.add_parser("version", help="print the version")
+    wanted = list(sys.argv[1:] if argv is None else argv)
+    if "ledger" in wanted[:1] or not wanted or wanted[0].startswith("-"):
+        from . import ledger  # only here: other commands load nothing of it
+
+        ledger.add_to(commands)
     given = parser.parse_args(argv)
+    if given.command == "ledger":
+        from . import ledger
+
+        return ledger.run(given)
     if given.command == "serve":
         return serve(given.config, given.operator)
     return check(given.file) if given.command == "check" else version()
--- /dev/null
+++ b/saffrongw/admin/ledger.py
@@ -0,0 +1,173 @@
+"""``saffrongw ledger``: what a ledger says, for people and as JSON lines. Reads beside a gateway in service."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+from collections import Counter
+from datetime import UTC, datetime
+from pathlib import Path
+
+from saffrongw.ledger.entries import Entry, Meaning, explain
+from saffrongw.ledger.reconcile import ListError, parse, reconcile
+from saffrongw.ledger.store import Reader, Store, StoreError, now_us
+
+UNUSABLE = 2
+
+
+def add_to(commands: argparse._SubParsersAction) -> None:
+    """The command and its own commands."""
+    ledger = commands.add_parser("ledger", help="what became of unrepeatable requests")
+    ledger.add_argument("--state", type=Path, required=True, metavar="DIR", help="the state_dir of [ledger]")
+    ledger.add_argument("--json", action="store_true", help="JSON lines")
+    what = ledger.add_subparsers(dest="what", required=True)
+    show = what.add_parser("show", help="the newest entries")
+    show.add_argument("--number", type=int, default=50)
+    find = what.add_parser("find", help="entries of a customer or of a client's id")
+    find.add_argument("text")
+    what.add_parser("open", help="entries that may have run and are not settled")
+    told = what.add_parser("explain", help="what is known of one entry, in sentences")
+    told.add_argument("id", help="LIFE-NUMBER, or the client's id")
+    what.add_parser("export", help="every entry, as JSON lines")
+    what.add_parser("verify", help="look through the whole file; status 1 where it is damaged")
+    back = what.add_parser("backup", help="a copy of one moment")
+    back.add_argument("file", type=Path)
+    lists = what.add_parser(
+        "import", help="a host's own list of issued reports (the gateway must not be running)"
+    )
+    lists.add_argument("file", type=Path)
+
+
+def when(at: int) -> str:
+    """A time as people read it."""
+    if not at:
+        return "an unknown time"
+    return datetime.fromtimestamp(at / 1e6, UTC).strftime("%Y-%m-%d %H:%M:%S.%f UTC")
+
+
+def as_json(entry: Entry) -> dict:
+    """One entry in plain types; a body that was kept is not shown in listings."""
+    tries = [
+        {
+            "host": t.host,
+            "born": t.born,
+            "intended": t.intended,
+            "whole": t.whole,
+            "outcome": t.outcome,
+            "ended": t.ended,
+        }
+        for t in entry.tries.values()
+    ]
+    names = (
+        "life",
+        "number",
+        "plan",
+        "cls",
+        "body_bytes",
+        "digest",
+        "taken",
+        "answer",
+        "answered",
+        "imported",
+    )
+    found = {name: getattr(entry, name) for name in names}
+    return found | {
+        "id": entry.name,
+        "customer": f"{entry.customer:016x}",
+        "request": entry.client_id,
+        "meaning": entry.meaning.value,
+        "settled": entry.settled,
+        "attempts": tries,
+    }
+
+
+def table(entries: list[Entry]) -> str:
+    """Entries as a table."""
+    rows = [("entry", "taken", "customer", "request", "plan", "class", "attempts", "answer", "meaning")]
+    for e in entries:
+        row = (
+            e.name,
+            when(e.taken)[:23],
+            f"{e.customer:016x}",
+            e.client_id,
+            e.plan,
+            e.cls,
+            str(len(e.tries)),
+        )
+        rows.append((*row, e.answer or "-", e.meaning.value + ("" if e.settled else " (open)")))
+    widths = [max(len(row[i]) for row in rows) for i in range(len(rows[0]))]
+    return "\n".join("  ".join(c.ljust(w) for c, w in zip(row, widths, strict=True)).rstrip() for row in rows)
+
+
+def run(given: argparse.Namespace) -> int:
+    """One command; its exit status."""
+    try:
+        if given.what == "import":
+            return _import(given.state, given.file)
+        return _read(given, Reader(given.state))
+    except (StoreError, ListError) as wrong:
+        print(f"saffrongw: {wrong}", file=sys.stderr)
+    except OSError as wrong:
+        print(f"saffrongw: {wrong.filename or ''}: {wrong.strerror or wrong}", file=sys.stderr)
+    return UNUSABLE
+
+
+def _read(given: argparse.Namespace, reader: Reader) -> int:
+    if given.what == "verify":
+        damage = reader.verify()
+        print("\n".join(damage) if damage else f"{reader.path}: good")
+        return 1 if damage else 0
+    if given.what == "backup":
+        reader.backup(given.file)
+        print(f"{given.file}: written")
+        return 0
+    entries = list(reader.entries().values())
+    for text in reader.damage[:20]:
+        print(f"saffrongw: {reader.path}: {text}", file=sys.stderr)
+    if given.what == "explain":
+        chosen = [e for e in entries if given.id in (e.name, e.client_id)]
+        if not chosen:
+            print(f"saffrongw: no entry is called {given.id!r}", file=sys.stderr)
+            return UNUSABLE
+        print("\n".join(explain(entry, when) for entry in chosen))
+        return 0
+    if given.what == "find":
+        text = given.text.lower()
+        entries = [
+            e for e in entries if text in (e.client_id.lower(), f"{e.customer:016x}", f"{e.customer:x}")
+        ]
+    elif given.what == "open":
+        entries = [e for e in entries if e.meaning is Meaning.MAY_HAVE_RUN]
+    elif given.what == "show":
+        entries = entries[-max(0, given.number) :] if given.number else []
+    if given.json or given.what == "export":
+        for entry in entries:
+            print(json.dumps(as_json(entry)))
+        return 0
+    print(table(entries))
+    counts = Counter(e.meaning.value for e in entries)
+    print(
+        f"\n{len(entries)} entries" + "".join(f", {count} {name}" for name, count in sorted(counts.items()))
+    )
+    return 0
+
+
+def _import(state: Path, file: Path) -> int:
+    with file.open(newline="") as lines:
+        issued = parse(lines, str(file))
+    Reader(state)  # says plainly where there is none
+    store = Store(state)
+    store.open()
+    try:
+        from saffrongw.ledger.entries import entries_of
+
+        result = reconcile(entries_of(store.rows()), issued, now_us())
+        if result.settled:
+            store.commit(result.settled)
+    finally:
+        store.close()
+    print(f"{len(issued)} lines: {len(result.settled)} entries settled as issued, {result.known} were known")
+    for text in result.contradictions:
+        print(f"contradiction: {text}")
+    return 1 if result.contradictions else 0
--- a/saffrongw/gateway/extended.py
+++ b/saffrongw/gateway/extended.py
@@ -249,6 +249,10 @@
         self._tell_observers("actions_out", now, event, tuple(actions))
         return actions
 
+    def wrap_hosts(self, wrap: Callable[[Hosts], Hosts]) -> None:
+        """Put something between the driver and its hosts."""
+        self._hosts = wrap(self._hosts)
+
     @property
     def hosts(self) -> Hosts | None:
         """Where attempts are sent; with observers they hear of each first."""
--- /dev/null
+++ b/saffrongw/ledger/gate.py
@@ -0,0 +1,181 @@
+"""Between the driver and its hosts: an attempt of an unsafe class is sent only once its intent is on the disk."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Sequence
+from hashlib import blake2b
+from pathlib import Path
+
+from orchidlane import interface as api
+from saffrongw.gateway.config import HostList
+from saffrongw.gateway.driver import Attempt, Call, Hosts
+from saffrongw.gateway.extended import ExtendedDriver
+from saffrongw.gateway.plug import Ending, Observer, Pass, Refuse, StagedRequest, Verdict
+
+from .entries import Event, Kind
+from .writer import Writer
+
+DIGEST_BYTES = 16
+UP_WITHIN = 0.5  # seconds at the start for the ledger to open before clients are served
+
+
+class _GatedHosts:
+    """Sends to hosts, those of unsafe classes once they are written down."""
+
+    def __init__(self, inner: Hosts, ledger: Ledger) -> None:
+        self.inner, self.ledger = inner, ledger
+
+    def send(self, attempt: Attempt) -> None:
+        """At once, or when the intent is durable."""
+        if attempt.call.event.kind in self.ledger.kinds:
+            self.ledger.intend(attempt, self.inner)
+        else:
+            self.inner.send(attempt)
+
+    def give_up(self, attempt: Attempt) -> None:
+        """One that is still being written down was never sent."""
+        self.inner.give_up(attempt)
+
+    def told(self, listed: HostList) -> list[Attempt]:
+        """Discovery's list has changed."""
+        return self.inner.told(listed)
+
+
+class Ledger(Observer):
+    """Stage, observer and service in one: refuses while nothing can be written, gates sends, records what follows."""
+
+    name = "ledger"
+    fallback: Verdict = Refuse()
+
+    def __init__(
+        self,
+        folder: Path,
+        kinds: frozenset[int],
+        classes: Sequence[str],
+        plans: Sequence[str],
+        queue_most: int,
+        keep: float,
+        most: int,
+        bodies: bool,
+    ) -> None:
+        self.folder, self.kinds, self.classes, self.plans = folder, kinds, classes, plans
+        self.queue_most, self.keep, self.most, self.bodies = queue_most, keep, most, bodies
+        self.entered: dict[int, set[int]] = {}  # requests with an intent -> ordinals that are recorded
+        self.writer: Writer | None = None
+
+    async def start(self, driver: ExtendedDriver) -> None:
+        """Open the ledger; a gateway whose ledger can't be opened serves all but unsafe requests."""
+        self.driver = driver
+        self.writer = Writer(self.folder, asyncio.get_running_loop(), self.queue_most, self.keep, self.most)
+        driver.wrap_hosts(lambda inner: _GatedHosts(inner, self))
+        self.writer.start()
+        for _ in range(int(UP_WITHIN / 0.01)):
+            if self.writer.up or self.writer.why != "it is being opened":
+                break
+            await asyncio.sleep(0.01)
+
+    async def stop(self) -> None:
+        """Write what waits."""
+        await asyncio.get_running_loop().run_in_executor(None, self.writer.stop)
+
+    # -- the stage ------------------------------------------------------------------------------------------------
+
+    def on_request(self, request: StagedRequest) -> Verdict:
+        """Refused at once and harmlessly where it could not be written down; nothing was counted yet."""
+        if request.terms.kind in self.kinds and not self.writer.ready:
+            return Refuse()
+        return Pass()
+
+    def on_end(self, request: StagedRequest, ending: Ending) -> None:
+        """Its answer is recorded by ``answered``; a client that left is seen by what its attempts came to."""
+
+    # -- the gate -------------------------------------------------------------------------------------------------
+
+    def intend(self, attempt: Attempt, hosts: Hosts) -> None:
+        """Write down, then send; what could not be written down is not sent."""
+        call = attempt.call
+        number, ordinal = call.event.request, attempt.number
+        data = {
+            "ordinal": ordinal,
+            "host": attempt.server.decode("utf-8", "replace"),
+            "born": self._born(attempt),
+        }
+        if number not in self.entered:
+            data |= self._terms(call)
+        event = Event(self.writer.life, number, Kind.INTENT, self._now(), data)
+
+        def done(good: bool) -> None:
+            if not good:
+                self.driver.attempt_ended(attempt, api.Outcome.NEVER_SENT)
+                return
+            self.entered.setdefault(number, set()).add(ordinal)
+            if (
+                attempt.ended or call.finished
+            ):  # its time was up, or its client had gone, before it was written
+                self._follow(number, Kind.OUTCOME, ordinal=ordinal, outcome="never sent")
+                if not attempt.ended:
+                    self.driver.attempt_ended(attempt, api.Outcome.NEVER_SENT)
+                self._forget(call)
+                return
+            attempt.sent = self.driver.clock()  # the disk's time is not the host's
+            hosts.send(attempt)
+            if attempt.whole:
+                self._follow(number, Kind.WHOLE, ordinal=ordinal)
+
+        if not self.writer.intend(event, done):
+            asyncio.get_running_loop().call_soon(self.driver.attempt_ended, attempt, api.Outcome.NEVER_SENT)
+
+    def _born(self, attempt: Attempt) -> int:
+        host = self.driver.gateway.hosts.get(attempt.server)
+        return host.entry.launched if host else 0
+
+    def _terms(self, call: Call) -> dict:
+        event, parts = call.event, call.parts
+        body = parts[5] if len(parts) > 5 else b""
+        terms = {
+            "customer": event.customer,
+            "id": parts[2].decode("ascii", "replace"),
+            "plan": self.plans[event.plan],
+            "class": self.classes[event.kind],
+            "bytes": len(body),
+            "digest": blake2b(body, digest_size=DIGEST_BYTES).hexdigest(),
+            "taken": self._now(),
+        }
+        return terms | {"body": body.hex()} if self.bodies else terms
+
+    @staticmethod
+    def _now() -> int:
+        return time.time_ns() // 1000
+
+    def _follow(self, number: int, kind: Kind, **data) -> None:
+        self.writer.follow(Event(self.writer.life, number, kind, self._now(), data))
+
+    def _forget(self, call: Call) -> None:
+        """Nothing more will come of it: kept no longer."""
+        if call.finished and all(a.ended for a in call.attempts):
+            self.entered.pop(call.event.request, None)
+
+    # -- the observer -----------------------------------------------------------------------------------------------
+
+    def attempt_ended(self, attempt: Attempt, outcome: api.Outcome) -> None:
+        """Recorded in a group: it delays nobody."""
+        number = attempt.call.event.request
+        if attempt.number in self.entered.get(number, ()):
+            never = not attempt.whole and outcome in (api.Outcome.TIMED_OUT, api.Outcome.CANCELLED)
+            # What was given up before its last byte had left has not run: hosts begin at the last byte.
+            said = "not connected" if never else outcome.value
+            self._follow(number, Kind.OUTCOME, ordinal=attempt.number, outcome=said)
+            others = [a for a in attempt.call.attempts if a is not attempt]
+            if attempt.call.finished and all(a.ended for a in others):
+                self.entered.pop(number, None)
+
+    def answered(self, call: Call, reply: bytes) -> None:
+        """The final answer is about to be written."""
+        number = call.event.request
+        if number in self.entered:
+            kind = "served" if reply[:1] == b"$" else "refused" if reply.startswith(b"-BUSY") else "failed"
+            self._follow(number, Kind.ANSWER, answer=kind)
+            if all(a.ended for a in call.attempts):
+                self.entered.pop(number, None)
--- /dev/null
+++ b/saffrongw/ledger/store.py
@@ -0,0 +1,232 @@
+"""The ledger's database: SQLite in WAL mode with ``synchronous=FULL``, rows that are only ever added, each with a
+checksum of its own. Used by the writer's thread, and read-only by the command line.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import fcntl
+import os
+import sqlite3
+import time
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+
+from .entries import DamageError, Entry, Event, Kind, checksum, entries_of, read, recover
+
+SCHEMA = 1
+FILE, LOCK = "ledger.sqlite", "ledger.lock"
+TABLES = """
+CREATE TABLE meta (name TEXT PRIMARY KEY, value INTEGER NOT NULL);
+CREATE TABLE events (
+    seq INTEGER PRIMARY KEY, life INTEGER NOT NULL, number INTEGER NOT NULL, kind TEXT NOT NULL, at INTEGER NOT NULL,
+    data TEXT NOT NULL, sum BLOB NOT NULL
+);
+CREATE INDEX events_of ON events (life, number);
+"""
+COLUMNS = "seq, life, number, kind, at, data, sum"
+
+
+class StoreError(Exception):
+    """The ledger can't be used now; it says why."""
+
+
+def now_us() -> int:
+    """Unix time in microseconds."""
+    return time.time_ns() // 1000
+
+
+class Store:
+    """The database of one gateway, open for writing by one process at a time."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder, self.path = folder, folder / FILE
+        self.lock: int | None = None
+        self.db: sqlite3.Connection | None = None
+        self.life = 0
+
+    def open(self) -> int:
+        """Open or make it and begin a new life; how many entries of older lives were classed.
+
+        ``StoreError`` names what is wrong: a second process, an unknown schema, a damaged file, a disk that fails.
+        """
+        try:
+            self._take_lock()
+            new = not self.path.exists() or not self.path.stat().st_size
+            if new:
+                os.close(os.open(self.path, os.O_CREAT | os.O_RDWR, 0o600))
+            self.db = sqlite3.connect(self.path, isolation_level=None, timeout=1.0, check_same_thread=False)
+            self.db.execute("PRAGMA journal_mode=WAL")
+            self.db.execute("PRAGMA synchronous=FULL")
+            self.db.execute("PRAGMA wal_autocheckpoint=2000")
+            self._begin_schema()
+            return self._begin_life()
+        except StoreError:
+            self.close()
+            raise
+        except DamageError as wrong:
+            self.close()
+            raise StoreError(f"{self.path}: damaged: {wrong}") from None
+        except (OSError, sqlite3.Error) as wrong:
+            self.close()
+            raise StoreError(f"{self.path}: {wrong}") from None
+
+    def _take_lock(self) -> None:
+        self.folder.mkdir(mode=0o700, parents=True, exist_ok=True)
+        if self.lock is None:
+            self.lock = os.open(self.folder / LOCK, os.O_CREAT | os.O_RDWR | os.O_CLOEXEC, 0o600)
+        try:
+            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            raise StoreError(f"{self.folder}: another process holds this ledger") from None
+
+    def _begin_schema(self) -> None:
+        version = self.db.execute("PRAGMA user_version").fetchone()[0]
+        if version == 0 and not self.db.execute("SELECT count(*) FROM sqlite_master").fetchone()[0]:
+            self.db.executescript(f"BEGIN; {TABLES} PRAGMA user_version={SCHEMA}; COMMIT;")
+        elif version != SCHEMA:
+            raise StoreError(
+                f"{self.path}: its schema is {version}, this program knows {SCHEMA}; it was left as it is"
+            )
+
+    def _begin_life(self) -> int:
+        """One transaction: a crash within it leaves all as it was."""
+        db = self.db
+        db.execute("BEGIN IMMEDIATE")
+        row = db.execute("SELECT value FROM meta WHERE name='life'").fetchone()
+        self.life = (row[0] if row else 0) + 1
+        events = recover(self.open_entries().values(), self.life, now_us())
+        self._insert(events)
+        db.execute("INSERT OR REPLACE INTO meta VALUES ('life', ?)", (self.life,))
+        db.execute("COMMIT")
+        return len(events)
+
+    def _insert(self, events: Iterable[Event]) -> None:
+        rows = []
+        for e in events:
+            text = e.text()
+            rows.append(
+                (
+                    e.life,
+                    e.number,
+                    e.kind.value,
+                    e.at,
+                    text,
+                    checksum(e.life, e.number, e.kind.value, e.at, text),
+                )
+            )
+        self.db.executemany(
+            "INSERT INTO events (life, number, kind, at, data, sum) VALUES (?, ?, ?, ?, ?, ?)", rows
+        )
+
+    def commit(self, events: Iterable[Event]) -> None:
+        """Write a batch; when this returns it is on the disk. ``StoreError``: none of it counts, and the store must
+        be opened anew: what a failed fsync left in caches is not to be trusted."""
+        try:
+            self.db.execute("BEGIN IMMEDIATE")
+            self._insert(events)
+            self.db.execute("COMMIT")
+        except (sqlite3.Error, OSError) as wrong:
+            self.close()
+            raise StoreError(f"{self.path}: {wrong}") from None
+
+    # -- reading --------------------------------------------------------------------------------------------------
+
+    def rows(self, where: str = "", values: tuple = ()) -> Iterator[Event]:
+        """Events in their order; ``DamageError`` at the first that is not what was written."""
+        for row in self.db.execute(f"SELECT {COLUMNS} FROM events {where} ORDER BY seq", values):
+            yield read(*row)
+
+    def open_entries(self) -> dict[tuple[int, int], Entry]:
+        """Entries without a final answer and not yet classed."""
+        closed = "SELECT life, number FROM events WHERE kind IN ('answer', 'classed')"
+        return entries_of(self.rows(f"WHERE (life, number) NOT IN ({closed})"))
+
+    # -- bounds ---------------------------------------------------------------------------------------------------
+
+    def trim(self, before: int, most: int) -> int:
+        """Forget settled entries that began before a time, and the oldest settled ones beyond so many bytes; how many
+        rows. What may have run stays until a host's list has settled it."""
+        size = (
+            self.db.execute("PRAGMA page_count").fetchone()[0]
+            * self.db.execute("PRAGMA page_size").fetchone()[0]
+        )
+        free = self.db.execute("PRAGMA freelist_count").fetchone()[0]
+        size -= free * self.db.execute("PRAGMA page_size").fetchone()[0]
+        entries = entries_of(self.rows())
+        settled = sorted((e for e in entries.values() if e.settled), key=lambda e: (e.life, e.number))
+        share = len(settled) * max(0, size - most) // max(1, size) if size > most else 0
+        gone = {(e.life, e.number) for e in settled[:share]} | {
+            (e.life, e.number) for e in settled if e.taken < before
+        }
+        try:
+            self.db.execute("BEGIN IMMEDIATE")
+            for key in gone:
+                self.db.execute("DELETE FROM events WHERE life=? AND number=?", key)
+            self.db.execute("COMMIT")
+        except (sqlite3.Error, OSError) as wrong:
+            self.close()
+            raise StoreError(f"{self.path}: {wrong}") from None
+        return len(gone)
+
+    def close(self) -> None:
+        """Let go of the database and of the lock."""
+        db, self.db = self.db, None
+        if db is not None:
+            with contextlib.suppress(sqlite3.Error):
+                db.close()
+        if self.lock is not None:
+            os.close(self.lock)
+            self.lock = None
+
+
+class Reader:
+    """The same, read-only, beside a gateway in service."""
+
+    def __init__(self, folder: Path) -> None:
+        path = folder / FILE
+        if not path.exists():
+            raise StoreError(f"{path}: there is no ledger")
+        try:
+            self.db = sqlite3.connect(f"file:{path}?mode=ro", uri=True, timeout=2.0)
+            version = self.db.execute("PRAGMA user_version").fetchone()[0]
+        except sqlite3.Error as wrong:
+            raise StoreError(f"{path}: {wrong}") from None
+        if version != SCHEMA:
+            raise StoreError(f"{path}: its schema is {version}, this program knows {SCHEMA}")
+        self.path, self.damage = path, []
+
+    def events(self) -> Iterator[Event]:
+        """Every row that is what was written; the others are named in ``damage``."""
+        try:
+            for row in self.db.execute(f"SELECT {COLUMNS} FROM events ORDER BY seq"):
+                try:
+                    yield read(*row)
+                except DamageError as wrong:
+                    self.damage.append(str(wrong))
+        except (sqlite3.Error, OverflowError, UnicodeDecodeError) as wrong:
+            self.damage.append(f"the file: {wrong}")
+
+    def entries(self) -> dict[tuple[int, int], Entry]:
+        """All entries; one of which a row is damaged says less, never more."""
+        return entries_of(self.events())
+
+    def verify(self) -> list[str]:
+        """All that is wrong with the file."""
+        list(self.events())
+        try:
+            found = [row[0] for row in self.db.execute("PRAGMA integrity_check(20)")]
+        except sqlite3.Error as wrong:
+            found = [str(wrong)]
+        return self.damage + [f"the file: {text}" for text in found if text != "ok"]
+
+    def backup(self, path: Path) -> None:
+        """A copy of one moment, while the gateway goes on."""
+        os.close(os.open(path, os.O_CREAT | os.O_RDWR | os.O_EXCL, 0o600))
+        other = sqlite3.connect(path)
+        with other:
+            self.db.backup(other)
+        other.close()
+
+
+__all__ = ["FILE", "LOCK", "SCHEMA", "Kind", "Reader", "Store", "StoreError", "now_us"]
--- a/saffrongw/operator/file.py
+++ b/saffrongw/operator/file.py
@@ -111,6 +111,18 @@
     tls: TlsTable | None = key(None, about="cert and key are needed; with ca clients must prove themselves")
 
 
+@dataclass(frozen=True, slots=True)
+class LedgerTable:
+    """``[ledger]``: write down unrepeatable requests before they are sent."""
+
+    state_dir: Path = key(about="a folder of its own for each gateway, on a disk that lasts")
+    keyed: bool = key(False, about="keyed classes too")
+    queue: int = key(2000, least=1, most=100_000, about="intents that wait for the disk; beyond it refused")
+    keep_days: float = key(90.0, least=0.001, most=36_500, about="settled entries")
+    most_mb: int = key(512, least=1, most=1_000_000, about="beyond it the oldest settled entries go")
+    bodies: bool = key(False, about="keep bodies, not only their digest and length")
+
+
 @dataclass(frozen=True, slots=True)
 class OperatorFile:
     """All tables; a subsystem whose table does not stand in the file is off."""
@@ -118,6 +130,7 @@
     stages: StagesTable = key(StagesTable())
     authz: AuthzTable | None = key(None)
     authz_server: AuthzServerTable | None = key(None)
+    ledger: LedgerTable | None = key(None)
 
 
 def load(path: Path | str) -> OperatorFile:
--- a/saffrongw/wiring.py
+++ b/saffrongw/wiring.py
@@ -6,9 +6,9 @@
 from dataclasses import replace
 
 from saffrongw.gateway.config import Config
-from saffrongw.gateway.plug import Plugs, Service, Stage
+from saffrongw.gateway.plug import Observer, Plugs, Service, Stage
 from saffrongw.operator import OperatorFile, load
-from saffrongw.operator.file import AuthzServerTable, AuthzTable, TlsTable
+from saffrongw.operator.file import AuthzServerTable, AuthzTable, LedgerTable, TlsTable
 from tomlform import FormError
 
 log = logging.getLogger(__name__)
@@ -25,10 +25,16 @@
         stage = _authz(file.authz, config)
         stages.append(stage)
         services.append(stage)
+    observers: list[Observer] = []
+    if file.ledger:
+        ledger = _ledger(file.ledger, config)
+        stages.append(ledger)
+        observers.append(ledger)
+        services.append(ledger)
     if file.authz_server:
         services.append(_authz_server(file.authz_server, config))
     again = Again(path, file, config, stage) if path else None
-    return Plugs(tuple(stages), (), tuple(services), file.stages.time_share, again)
+    return Plugs(tuple(stages), tuple(observers), tuple(services), file.stages.time_share, again)
 
 
 class Again:
@@ -47,11 +53,9 @@
         except (FormError, OSError, ValueError) as wrong:
             log.warning("reload: the operator file that was read first stays: %s", wrong)
             return
-        fixed = (self.file.stages, bool(self.file.authz), self.file.authz_server)
-        if fixed != (new.stages, bool(new.authz), new.authz_server):
-            log.warning(
-                "reload: [stages], [authz_server] and what is switched on or off wait for the next start"
-            )
+        fixed = (self.file.stages, bool(self.file.authz), self.file.authz_server, self.file.ledger)
+        if fixed != (new.stages, bool(new.authz), new.authz_server, new.ledger):
+            log.warning("reload: what is switched on or off, and all but [authz], wait for the next start")
         self.file = replace(self.file, authz=new.authz if self.stage and new.authz else self.file.authz)
 
 
@@ -150,3 +154,15 @@
         table.in_flight,
         _tls(table.tls),
     )
+
+
+def _ledger(table: LedgerTable, config: Config):
+    from orchidlane.interface import Effect
+    from saffrongw.ledger.gate import Ledger
+
+    written = {Effect.UNSAFE, Effect.KEYED} if table.keyed else {Effect.UNSAFE}
+    kinds = frozenset(n for n, c in enumerate(config.settings.classes) if c.effect in written)
+    classes = [name.decode() for name, _ in sorted(config.classes.items(), key=lambda item: item[1])]
+    plans = [name.decode() for name, _ in sorted(config.plans.items(), key=lambda item: item[1])]
+    keep, most = table.keep_days * 86_400, table.most_mb << 20
+    return Ledger(table.state_dir, kinds, classes, plans, table.queue, keep, most, table.bodies)
--- a/standin/record.py
+++ b/standin/record.py
@@ -262,7 +262,7 @@
         with path.open("w") as file:
             for record in self.records:
                 fields = {f.name: getattr(record, f.name) for f in dataclasses.fields(record)}
-                file.write(json.dumps({"kind": type(record).__name__, **fields}) + "\n")
+                file.write(json.dumps({"record": type(record).__name__, **fields}) + "\n")
 
     @classmethod
     def load(cls, path: Path) -> Log:
@@ -272,7 +272,7 @@
             for number, line in enumerate(file, 1):
                 try:
                     raw: dict[str, Any] = json.loads(line)
-                    kind = KINDS[raw.pop("kind")]
+                    kind = KINDS[raw.pop("record")]
                     if kind is Told:
                         raw["hosts"] = tuple(tuple(host) for host in raw["hosts"])
                     log.add(kind(**raw))
--- a/standin/scenario.py
+++ b/standin/scenario.py
@@ -125,6 +125,7 @@
     deny: float = key(0.0, least=0, most=1, about="share of the customers that are denied")
     fail: str = key("closed", choices=("open", "closed"))
     timeout_ms: int = key(250, least=1)
+    in_flight: int = key(256, least=1, about="checks that a gateway may have out")
     cache_ms: float = key(0.0, least=0, about="lifetime that its answers state")
     delay_ms: Span = key((0.0, 4.0), least=0)
     open_most_ms: int = key(2000, least=10)
@@ -317,5 +318,6 @@
     names = ", ".join(f'"{address}"' for address in addresses)
     return (
         f'[authz]\nauthorisers = [{names}]\nfail = "{a.fail}"\ntimeout_ms = {a.timeout_ms}\n'
+        f"in_flight = {a.in_flight}\n"
         f"[authz.breaker]\nopen_most_ms = {a.open_most_ms}\n"
     )
