--- a/standin/runs.py
+++ b/standin/runs.py
@@ -42,7 +42,14 @@
 ) -> Run:
     """Play a scenario until its verdict is not inconclusive, a few times at most."""
     for number in range(1, tries + 1):
-        log, world = uvloop.run(play(scenario, folder, line, progress))
+        try:
+            log, world = uvloop.run(play(scenario, folder, line, progress))
+        except RuntimeError as wrong:
+            # Guards against another program that took a port between our look and the gateway's bind.
+            if "ddress already in use" not in str(wrong) or number == tries:
+                raise
+            told(f"{scenario.name}: a port was taken; try {number + 1} of {tries}")
+            continue
         verdict = judge(scenario, log)
         if verdict.outcome != "inconclusive" or number == tries:
             break
