--- a/standin/processes.py
+++ b/standin/processes.py
@@ -12,6 +12,7 @@
 import socket
 import sys
 import tomllib
+from collections import deque
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -26,6 +27,7 @@
 STARVED = 20_000  # us of waiting within one look that are noted
 PORTS = range(15_000, 32_000)  # below those that the kernel gives to outgoing connections
 PART = 100  # of them that one process looks in first
+_given: deque[int] = deque(maxlen=PART // 2)
 _PR_SET_PDEATHSIG = 1
 _libc = ctypes.CDLL(None, use_errno=True)
 
@@ -43,11 +45,14 @@
     own = PORTS[os.getpid() % parts * PART :][:PART]
     for turn in range(500):
         port = random.SystemRandom().choice(own if turn < 100 else PORTS)
+        if port in _given:  # by us, to a gateway that has not bound it yet
+            continue
         with socket.socket(socket.AF_INET, kind) as sock:
             try:
                 sock.bind((LOCAL, port))
             except OSError:
                 continue
+            _given.append(port)
             return port
     raise OSError("no free port was found")
 
--- /dev/null
+++ b/tests/standin/test_processes.py
@@ -0,0 +1,40 @@
+"""Gateways as processes: their ports, their end with the stand-ins."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+from standin.processes import PORTS, free_port, run_line
+
+ROOT = Path(__file__).parent.parent.parent
+
+
+def test_no_port_is_given_twice_before_it_is_bound():
+    """Two gateways of one run once got the same port: the second one's PING was answered by the first."""
+    ports = [free_port() for _ in range(40)]
+    assert len(set(ports)) == 40
+    assert all(port in PORTS for port in ports)
+
+
+def test_gateways_are_started_by_the_line_of_the_deploy_file():
+    assert run_line() == f"exec {sys.executable} -m saffrongw"
+
+
+def test_a_gateway_ends_with_the_stand_ins_however_they_end():
+    code = (
+        "import os, signal, subprocess, sys\n"
+        "from standin.processes import _die_with_parent\n"
+        "child = subprocess.Popen(['sleep', '60'], preexec_fn=_die_with_parent)\n"
+        "print(child.pid, flush=True)\n"
+        "os.kill(os.getpid(), signal.SIGKILL)\n"
+    )
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=30)
+    child = Path(f"/proc/{int(done.stdout)}/stat")
+    for _ in range(100):
+        if not child.exists() or child.read_text().rsplit(")", 1)[1].split()[0] == "Z":
+            break
+        subprocess.run(["sleep", "0.05"], check=True)
+    else:
+        raise AssertionError("the child still runs")
