Ledger: import in service, bounded starts and trims; a run waits for its very last arrival

Need: an import asked for a gateway that is down, and a start or a trim of a large ledger read all of it.

Change: import hands a gateway in service what fits, which checks it again; a start reads the last life, a trim 500 entries.

--- a/saffrongw/admin/ledger.py
+++ b/saffrongw/admin/ledger.py
@@ -14,6 +14,7 @@
 from saffrongw.ledger.store import Reader, Store, StoreError, now_us
 
 UNUSABLE = 2
+HAND_IN_WITHIN = 10.0  # seconds for a gateway in service to take what an import found
 
 
 def add_to(commands: argparse._SubParsersAction) -> None:
@@ -33,9 +34,7 @@
     what.add_parser("verify", help="look through the whole file; status 1 where it is damaged")
     back = what.add_parser("backup", help="a copy of one moment")
     back.add_argument("file", type=Path)
-    lists = what.add_parser(
-        "import", help="a host's own list of issued reports (the gateway must not be running)"
-    )
+    lists = what.add_parser("import", help="a host's own list of issued reports")
     lists.add_argument("file", type=Path)
 
 
@@ -156,17 +155,18 @@
 def _import(state: Path, file: Path) -> int:
     with file.open(newline="") as lines:
         issued = parse(lines, str(file))
-    Reader(state)  # says plainly where there is none
-    store = Store(state)
-    store.open()
-    try:
-        from saffrongw.ledger.entries import entries_of
-
-        result = reconcile(entries_of(store.rows()), issued, now_us())
-        if result.settled:
+    reader = Reader(state)
+    result = reconcile(reader.entries(), issued, now_us())
+    if result.settled:
+        store = Store(state)
+        try:
+            store.open()
+        except StoreError:  # a gateway holds it, or what ``hand_in`` would meet too
+            if not reader.hand_in(result.settled, HAND_IN_WITHIN):
+                raise
+        else:
             store.commit(result.settled)
-    finally:
-        store.close()
+            store.close()
     print(f"{len(issued)} lines: {len(result.settled)} entries settled as issued, {result.known} were known")
     for text in result.contradictions:
         print(f"contradiction: {text}")
--- a/saffrongw/ledger/store.py
+++ b/saffrongw/ledger/store.py
@@ -6,15 +6,18 @@
 
 import contextlib
 import fcntl
+import json
 import os
 import sqlite3
 import time
 from collections.abc import Iterable, Iterator
 from pathlib import Path
 
-from .entries import DamageError, Entry, Event, Kind, checksum, entries_of, read, recover
+from .entries import DamageError, Entry, Event, Kind, Meaning, checksum, entries_of, read, recover
 
 SCHEMA = 1
+INBOX, INBOX_FILES, INBOX_LINES = "inbox", 4, 10_000  # folder; files at once / lines of a file that are taken
+LOOK_AT = 500  # entries that one ``trim`` looks at
 FILE, LOCK = "ledger.sqlite", "ledger.lock"
 TABLES = """
 CREATE TABLE meta (name TEXT PRIMARY KEY, value INTEGER NOT NULL);
@@ -44,6 +47,7 @@
         self.lock: int | None = None
         self.db: sqlite3.Connection | None = None
         self.life = 0
+        self.trimmed: tuple[int, int] = (0, -1)  # the entry that ``trim`` looked at last
 
     def open(self) -> int:
         """Open or make it and begin a new life; how many entries of older lives were classed.
@@ -138,33 +142,78 @@
             yield read(*row)
 
     def open_entries(self) -> dict[tuple[int, int], Entry]:
-        """Entries without a final answer and not yet classed."""
-        closed = "SELECT life, number FROM events WHERE kind IN ('answer', 'classed')"
-        return entries_of(self.rows(f"WHERE (life, number) NOT IN ({closed})"))
+        """Entries of the last life without a final answer. Those of lives before it are classed: each life begins with
+        that, in one transaction."""
+        row = self.db.execute("SELECT value FROM meta WHERE name='life'").fetchone()
+        closed = "SELECT number FROM events WHERE life=? AND kind IN ('answer', 'classed')"
+        life = row[0] if row else 0
+        return entries_of(self.rows(f"WHERE life=? AND number NOT IN ({closed})", (life, life)))
+
+    # -- what a command line found out, while a gateway is in service --------------------------------------------
+
+    def take_inbox(self) -> int:
+        """Files that ``Reader.hand_in`` left: each event that still fits its entry is written; how many were.
+
+        A file is renamed to ``.done`` once what it holds is on the disk, or to ``.bad`` where it can't be read.
+        """
+        written = 0
+        for path in sorted((self.folder / INBOX).glob("*.jsonl"))[:INBOX_FILES]:
+            try:
+                events = [
+                    self._fitting(json.loads(line)) for line in path.read_text().splitlines()[:INBOX_LINES]
+                ]
+            except (OSError, ValueError, KeyError, TypeError, AttributeError):
+                path.rename(path.with_suffix(".bad"))
+                continue
+            good = [event for event in events if event is not None]
+            if good:
+                self.commit(good)
+            written += len(good)
+            path.rename(path.with_suffix(".done"))
+        return written
+
+    def _fitting(self, raw: dict) -> Event | None:
+        """An event for an entry that may have run, at a host to which it was sent; None where that has changed."""
+        key = int(raw["life"]), int(raw["number"])
+        entry = entries_of(self.rows("WHERE life=? AND number=?", key)).get(key)
+        hosts = {one.host for one in entry.tries.values()} if entry else set()
+        if entry is None or entry.meaning is not Meaning.MAY_HAVE_RUN or raw["host"] not in hosts:
+            return None
+        return Event(*key, Kind.IMPORTED, now_us(), {"host": str(raw["host"]), "issued": int(raw["issued"])})
 
     # -- bounds ---------------------------------------------------------------------------------------------------
 
-    def trim(self, before: int, most: int) -> int:
-        """Forget settled entries that began before a time, and the oldest settled ones beyond so many bytes; how many
-        rows. What may have run stays until a host's list has settled it."""
-        size = (
-            self.db.execute("PRAGMA page_count").fetchone()[0]
-            * self.db.execute("PRAGMA page_size").fetchone()[0]
+    def size(self) -> int:
+        """Bytes in use."""
+        page, count, free = (
+            self.db.execute(f"PRAGMA {name}").fetchone()[0]
+            for name in ("page_size", "page_count", "freelist_count")
         )
-        free = self.db.execute("PRAGMA freelist_count").fetchone()[0]
-        size -= free * self.db.execute("PRAGMA page_size").fetchone()[0]
-        entries = entries_of(self.rows())
-        settled = sorted((e for e in entries.values() if e.settled), key=lambda e: (e.life, e.number))
-        share = len(settled) * max(0, size - most) // max(1, size) if size > most else 0
-        gone = {(e.life, e.number) for e in settled[:share]} | {
-            (e.life, e.number) for e in settled if e.taken < before
-        }
+        return page * (count - free)
+
+    def trim(self, before: int, most: int) -> int:
+        """Look at the next ``LOOK_AT`` entries and forget the settled ones that began before a time, or all settled
+        ones while the file holds more than so many bytes; how many were forgotten.
+
+        What may have run stays until a host's list has settled it. The work is bounded: intents wait meanwhile.
+        """
         try:
-            self.db.execute("BEGIN IMMEDIATE")
-            for key in gone:
-                self.db.execute("DELETE FROM events WHERE life=? AND number=?", key)
-            self.db.execute("COMMIT")
-        except (sqlite3.Error, OSError) as wrong:
+            large = self.size() > most
+            keys = self.db.execute(
+                "SELECT DISTINCT life, number FROM events WHERE (life, number) > (?, ?) ORDER BY life, number LIMIT ?",
+                (*self.trimmed, LOOK_AT),
+            ).fetchall()
+            self.trimmed = tuple(keys[-1]) if len(keys) == LOOK_AT else (0, -1)
+            gone = []
+            for key in keys:
+                (entry,) = entries_of(self.rows("WHERE life=? AND number=?", tuple(key))).values()
+                if entry.settled and (large or entry.taken < before):
+                    gone.append(key)
+            if gone:
+                self.db.execute("BEGIN IMMEDIATE")
+                self.db.executemany("DELETE FROM events WHERE life=? AND number=?", gone)
+                self.db.execute("COMMIT")
+        except (sqlite3.Error, OSError, DamageError) as wrong:
             self.close()
             raise StoreError(f"{self.path}: {wrong}") from None
         return len(gone)
@@ -220,6 +269,24 @@
             found = [str(wrong)]
         return self.damage + [f"the file: {text}" for text in found if text != "ok"]
 
+    def hand_in(self, events: Iterable[Event], within: float) -> bool:
+        """Leave events to the gateway that holds the ledger; whether it has written them within so many seconds."""
+        inbox = self.path.parent / INBOX
+        inbox.mkdir(mode=0o700, exist_ok=True)
+        path = inbox / f"{now_us()}-{os.getpid()}.jsonl"
+        lines = [json.dumps({"life": e.life, "number": e.number, **e.data}) for e in events]
+        part = path.with_suffix(".part")
+        with os.fdopen(os.open(part, os.O_CREAT | os.O_WRONLY | os.O_EXCL, 0o600), "w") as file:
+            file.write("\n".join(lines) + "\n")
+        part.rename(path)
+        done, end = path.with_suffix(".done"), time.monotonic() + within
+        while time.monotonic() < end:
+            if done.exists():
+                done.unlink()
+                return True
+            time.sleep(0.05)
+        return False
+
     def backup(self, path: Path) -> None:
         """A copy of one moment, while the gateway goes on."""
         os.close(os.open(path, os.O_CREAT | os.O_RDWR | os.O_EXCL, 0o600))
--- a/saffrongw/ledger/writer.py
+++ b/saffrongw/ledger/writer.py
@@ -24,7 +24,8 @@
 BATCH_MOST = 512
 AGAIN = 1.0  # seconds between two tries to open a store that failed
 LATER_MOST = 20_000  # records that may follow and wait for a disk that is away
-TRIM_EVERY = 60.0  # seconds
+LOOK = 1.0  # seconds between two looks into the inbox
+TRIM_EVERY, TRIM_NEXT = 60.0, 1.0  # seconds between two looks for what to forget, while there was some
 Done = Callable[[bool], None]
 
 
@@ -77,7 +78,7 @@
     # -- the thread -------------------------------------------------------------------------------------------------
 
     def _run(self) -> None:
-        trimmed = time.monotonic()
+        trimmed = looked = time.monotonic()
         while not self.ending.is_set() or not self.waiting.empty():
             if not self.up and not self._open():
                 self._drain_failed()
@@ -87,10 +88,17 @@
             batch = self._batch()
             if batch:
                 self._commit(batch)
+            if self.up and time.monotonic() - looked > LOOK:
+                looked = time.monotonic()
+                try:
+                    self.store.take_inbox()
+                except Exception as wrong:
+                    self._down(wrong)
             if self.up and time.monotonic() - trimmed > TRIM_EVERY:
                 trimmed = time.monotonic()
                 try:
-                    self.store.trim(now_us() - int(self.keep * 1e6), self.most)
+                    if self.store.trim(now_us() - int(self.keep * 1e6), self.most):
+                        trimmed -= TRIM_EVERY - TRIM_NEXT  # there is more to forget: sooner again
                 except Exception as wrong:
                     self._down(wrong)
         self.up = False
@@ -111,7 +119,10 @@
         return True
 
     def _batch(self) -> list[tuple[Event, Done | None]]:
-        first = self.waiting.get()
+        try:
+            first = self.waiting.get(timeout=LOOK)
+        except queue.Empty:
+            return []
         batch = [] if first is None else [first]
         while len(batch) < BATCH_MOST:
             try:
--- a/standin/checker.py
+++ b/standin/checker.py
@@ -157,6 +157,10 @@
     """One judgement of one run."""
 
     def __init__(self, scenario: Scenario, log: Log) -> None:
+        # What comes after the end is the stand-ins going away, not a gateway's doing.
+        end = next((r.at for r in log.of(Finished)), None)
+        if end is not None:
+            log = Log(r for r in log.records if r.at <= end or isinstance(r, GatewayEvent))
         self.s, self.log = scenario, log
         self.findings: list[Finding] = []
         self.counts: dict[str, int] = defaultdict(int)
--- a/standin/world.py
+++ b/standin/world.py
@@ -161,13 +161,14 @@
         try:
             self.begin = self.clock() + int(SETTLE * 1e6)
             self.log.add(Began(self.begin))
-            for work in (heart.run(), watch(self.gateways), self._arrive()):
-                self.tasks.append(self.loop.create_task(work))
+            arrive = self.loop.create_task(self._arrive())
+            self.tasks += [arrive, *map(self.loop.create_task, (heart.run(), watch(self.gateways)))]
             faults = [self.loop.create_task(self._fault(n, f)) for n, f in enumerate(self.scenario.fault)]
             self.tasks += faults
             if progress:
                 self.tasks.append(self.loop.create_task(self._progress(progress)))
             await self._until(self.begin + int(self.scenario.length_s * 1e6))
+            await arrive  # the last one may be due in the very last moment
             await self.clients.finish(max(c.deadline_ms for c in self.scenario.cls) / 1000 + 2)
             for fault in faults:
                 if fault.done() and fault.exception():
--- a/tests/ledger/test_store.py
+++ b/tests/ledger/test_store.py
@@ -260,13 +260,44 @@
 
 def test_trimming_never_drops_what_is_open(tmp_path):
     store = filled(tmp_path, 30)
+    assert store.trim(before=0, most=1 << 40) == 0
     assert (
         store.trim(before=99 * S, most=1 << 40) == 10
     )  # the answered ones; those never sent are not classed yet
-    assert store.trim(before=0, most=1) >= 0
+    store.close()
+    store.open()
+    assert store.trim(before=0, most=1) == 10  # beyond the bound: those never sent too, by now
     left = entries_of(store.rows())
-    assert sum(e.meaning is Meaning.MAY_HAVE_RUN for e in left.values()) == 10
+    assert [e.meaning for e in left.values()] == [Meaning.MAY_HAVE_RUN] * 10
+    assert store.trim(before=99 * S, most=1) == 0
+    store.close()
+
+
+def test_trimming_looks_at_a_few_entries_at_a_time_and_comes_to_all(tmp_path, monkeypatch):
+    from saffrongw.ledger import store as storing
+
+    monkeypatch.setattr(storing, "LOOK_AT", 7)
+    store = filled(tmp_path, 30)
+    assert sum(store.trim(before=99 * S, most=1 << 40) for _ in range(5)) == 10
+    assert store.trim(before=99 * S, most=1 << 40) == 0
+    assert len(entries_of(store.rows())) == 20
+    store.close()
+
+
+def test_a_start_looks_at_the_last_life_alone(tmp_path):
+    """What lives before it left was classed when the next one began; a start must not read all of a long past."""
+    for life in (1, 2, 3):
+        store = Store(tmp_path)
+        assert store.open() == (1 if life > 1 else 0)
+        store.commit([intent(life, 1)])
+        store.close()
+    with sqlite3.connect(tmp_path / FILE) as db:
+        db.execute("UPDATE events SET sum=x'00' WHERE life=1")  # damage there is for verify to find
+    db.close()
+    store = Store(tmp_path)
+    assert store.open() == 1
     store.close()
+    assert len(Reader(tmp_path).verify()) == 2
 
 
 # -- the thread and the gate -----------------------------------------------------------------------------
@@ -359,6 +390,12 @@
     assert [e.client_id for e in Reader(tmp_path).entries().values()] == ["again"]
 
 
+def ask(caller, customer: int) -> None:
+    """An unsafe request of a customer of its own: no quota is in its way."""
+    terms = b"c=bill,t=team,d=2000,units=1,spread=1,first=0"
+    caller.ask(b"CALL.POST", b"%016x" % customer, b"c%d" % customer, terms, b"BODY")
+
+
 @asyncio_test
 async def test_a_real_full_disk_is_met_by_the_database_itself(tmp_path, monkeypatch):
     monkeypatch.setattr(writing, "AGAIN", 0.05)
@@ -372,13 +409,13 @@
     )  # as small as it can be: no page can be added
     replies = 1
     for number in range(400):
-        caller.call("bill", number=b"n%d" % number)
+        ask(caller, number + 100)
         replies += 1
         if (await caller.replied(replies))[-1] != b"ok":
             break
     assert error(caller.replies[-1]) == "BUSY"
     await until(lambda: world.ledger.writer.up)  # opened anew, without that limit
-    caller.call("bill", number=b"last")
+    ask(caller, 99)
     assert (await caller.replied(replies + 1))[-1] == b"ok"
     await world.ledger.stop()
     assert Reader(tmp_path).verify() == []
@@ -519,3 +556,53 @@
     assert "1 entries, 1 may have run" in run("open")[1]
     assert cli.main(["ledger", "--state", str(tmp_path / "none"), "show"]) == 2
     assert "there is no ledger" in capsys.readouterr().err
+
+
+@asyncio_test
+async def test_a_list_is_imported_while_the_gateway_runs(tmp_path, monkeypatch, capsys):
+    monkeypatch.setattr(writing, "LOOK", 0.05)
+    filled(tmp_path / "state", 6).close()
+    world = await World().open(tmp_path / "state")
+    (tmp_path / "list.csv").write_text(f"{HEADER}\n7,id3,h1,5\n7,id6,h9,5\n")
+    words = ["ledger", "--state", str(tmp_path / "state"), "import", str(tmp_path / "list.csv")]
+    assert await asyncio.get_running_loop().run_in_executor(None, cli.main, words) == 1
+    said = capsys.readouterr().out
+    assert "1 entries settled as issued" in said
+    assert "contradiction: request id6" in said
+    caller = await world.rig.caller()
+    caller.call("bill", number=b"new")
+    assert await caller.replied() == [b"ok"]
+    await world.ledger.stop()
+    found = {e.client_id: e.meaning for e in Reader(tmp_path / "state").entries().values()}
+    assert (found["id3"], found["id6"], found["new"]) == (Meaning.RAN, Meaning.MAY_HAVE_RUN, Meaning.ANSWERED)
+    assert list((tmp_path / "state" / "inbox").iterdir()) == []
+
+
+def test_what_is_handed_in_is_checked_again_and_rubbish_is_set_aside(tmp_path):
+    store = filled(tmp_path, 6)
+    inbox = tmp_path / "inbox"
+    inbox.mkdir()
+    (inbox / "1.jsonl").write_text('{"life": 1, "number": 1, "host": "h1", "issued": 5}\n')  # is answered
+    (inbox / "2.jsonl").write_text(
+        '{"life": 1, "number": 3, "host": "h9", "issued": 5}\n'
+    )  # was not sent there
+    (inbox / "3.jsonl").write_text("rubbish\n")
+    (inbox / "4.jsonl").write_text('{"life": 1, "number": 3, "host": "h1", "issued": 5}\n')
+    assert store.take_inbox() == 1
+    assert sorted(p.name for p in inbox.iterdir()) == ["1.done", "2.done", "3.bad", "4.done"]
+    store.close()
+
+
+@asyncio_test
+async def test_keyed_classes_and_bodies_are_written_where_the_operators_ask(tmp_path):
+    host = await FakeHost("a").listen()
+    ledger = Ledger(tmp_path, frozenset({1, 2}), ("read", "put", "bill"), ("team",), 100, 1e6, 1 << 30, True)
+    plugs = Plugs((ledger,), (ledger,), (ledger,))
+    rig = Rig(host, driver=lambda *given: ExtendedDriver(*given, plugs))
+    await ledger.start(rig.driver)
+    caller = await rig.caller()
+    caller.call("put")
+    assert await caller.replied() == [b"ok"]
+    await ledger.stop()
+    (entry,) = Reader(tmp_path).entries().values()
+    assert (entry.cls, bytes.fromhex(entry.body)) == ("put", b"BODY")
--- a/tests/standin/test_checker.py
+++ b/tests/standin/test_checker.py
@@ -381,6 +381,17 @@
     assert restarted.allowed_beyond == plain.allowed_beyond + SCENARIO.plan[1].burst
 
 
+def test_what_comes_after_the_end_is_nobodys_fault():
+    """The stand-ins close their connections when a run is over; one day that was taken for the gateway's doing."""
+    day = Day(
+        sent(49 * S),
+        attempt(49 * S),
+        Finished(50 * S),
+        Closed(50 * S + 1, "r1", 0, 1, "gateway", True, False),
+    )
+    assert day.found() == []
+
+
 # -- running, form, evidence -----------------------------------------------------------------------------
 
 
