--- a/standin/authoriser.py
+++ b/standin/authoriser.py
@@ -35,6 +35,7 @@
     "lies",  # allowed and denied at once
     "noise",  # bytes that are no message
 )
+STREAMS_MOST = 2000  # checks at once on a connection; clients queue what is beyond
 HEAD = [(":status", "200"), ("content-type", "application/grpc")]
 
 
@@ -109,6 +110,7 @@
         self.server.connections.add(self)
         self.server.connected += 1
         self.http.initiate_connection()
+        self.http.update_settings({h2.settings.SettingCodes.MAX_CONCURRENT_STREAMS: STREAMS_MOST})
         if self.server.behaviour.window_shut:
             self.http.update_settings({h2.settings.SettingCodes.INITIAL_WINDOW_SIZE: 0})
         self.flush()
--- a/tests/ledger/test_store.py
+++ b/tests/ledger/test_store.py
@@ -166,9 +166,12 @@
     """A file with its WAL as a kill leaves them, and the entries that were written."""
     source = tmp_path / "source"
     store = filled(source, 30)
-    whole = {key: dataclasses.asdict(entry) for key, entry in Reader(source).entries().items()}
+    reader = Reader(source)
+    whole = {key: dataclasses.asdict(entry) for key, entry in reader.entries().items()}
+    reader.db.close()
     copy = tmp_path / "copy"
     shutil.copytree(source, copy)
+    store.db.execute("PRAGMA wal_checkpoint(TRUNCATE)")
     store.close()
     return copy, whole
 
@@ -218,6 +221,8 @@
         (copy / name).unlink()
     source = tmp_path / "source"
     plain = (source / FILE).read_bytes()  # closed and checkpointed: all is in the database
+    (copy / FILE).write_bytes(plain)
+    assert checked(copy, whole) == (30, False)
     lots, named, less = random.Random(5), 0, 0
     for _ in range(300):
         data = bytearray(plain)
