--- a/tests/faults/test_planted.py
+++ b/tests/faults/test_planted.py
@@ -52,15 +52,15 @@
 """
 DEPLOY = """
 name = "planted-deploy"
-length_s = 10
+length_s = 9
 [[fault]]
 at = 0.5
 kind = "deploy"
-share = 0.6
-batch = 0.34
-for_s = 4
-drain_s = 4
-"""
+share = 1.0
+batch = 1.0
+for_s = 1
+drain_s = 6
+"""  # all hosts drain at once: who does not heed it has nowhere else to send
 COLD = """
 name = "planted-cold"
 length_s = 10
