One place takes a request, words a refusal and wraps hosts; the extended driver calls it

Need: ExtendedDriver repeated how a call is registered and guarded and how -BUSY is worded, and two classes passed hosts on method by method. A change to the guard would have had to be made twice.

Change: Driver._take, driver.busy and extended.WrappedHosts serve both; terms are changed by dataclasses.replace.

--- a/saffrongw/gateway/driver.py
+++ b/saffrongw/gateway/driver.py
@@ -26,6 +26,12 @@
 FAILED = b"-ERR failed\r\n"
 
 
+def busy(retry_after: int) -> bytes:
+    """A refusal; retry_after in us, 0 says nothing."""
+    wait = -(-retry_after // MS)  # a client that came back earlier would be refused again
+    return b"-BUSY %d\r\n" % wait if wait else b"-BUSY\r\n"
+
+
 @dataclass(frozen=True, slots=True)
 class Terms:
     """What a client's command says of its request; wait in microseconds."""
@@ -113,6 +119,12 @@
 
     def arrived(self, terms: Terms, parts: tuple[bytes, ...], answer: Callable[[bytes], None]) -> Call:
         """A client's request, its last byte just read; the client's own ids stay outside the module."""
+        call = self._take(terms, parts, answer)
+        self.feed(call.event)
+        return call
+
+    def _take(self, terms: Terms, parts: tuple[bytes, ...], answer: Callable[[bytes], None]) -> Call:
+        """From here on an answer is owed: counted, listed and guarded."""
         self.last_number += 1
         left = max(MS, terms.wait - ON_THE_WAY)
         event = api.RequestArrived(
@@ -129,7 +141,6 @@
         call = Call(event, parts, self.clock() + left, answer)
         self.calls[self.last_number] = call
         call.guard = self._at(call.until, self._time_up, call)
-        self.feed(event)
         return call
 
     def client_gone(self, call: Call) -> None:
@@ -238,8 +249,7 @@
 
     def _refuse(self, action: api.Refuse) -> None:
         if call := self.calls.get(action.request):
-            wait = -(-action.retry_after // MS)  # a client that came back earlier would be refused again
-            self._finish(call, b"-BUSY %d\r\n" % wait if wait else b"-BUSY\r\n")
+            self._finish(call, busy(action.retry_after))
 
     def _fail(self, action: api.Fail) -> None:
         if call := self.calls.get(action.request):
--- a/saffrongw/gateway/extended.py
+++ b/saffrongw/gateway/extended.py
@@ -11,13 +11,13 @@
 import logging
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import ClassVar
 
 from orchidlane import interface as api
 
 from .config import HostList
-from .driver import FAILED, MS, ON_THE_WAY, Attempt, Call, Driver, Hosts, Terms
+from .driver import FAILED, MS, ON_THE_WAY, Attempt, Call, Driver, Hosts, Terms, busy
 from .plug import Ending, Fail, Observer, Plugs, Refuse, Stage, StagedRequest, StageError, apply
 
 log = logging.getLogger(__name__)
@@ -34,23 +34,37 @@
     late: asyncio.TimerHandle | None = None
 
 
-class _ToldHosts:
-    """The hosts, with observers told of each attempt before it is sent."""
+class WrappedHosts:
+    """Something between the driver and its hosts: all that it does not override is passed on."""
 
-    def __init__(self, hosts: Hosts, driver: ExtendedDriver) -> None:
-        self.inner, self.driver = hosts, driver
+    def __init__(self, inner: Hosts) -> None:
+        self.inner = inner
 
     def send(self, attempt: Attempt) -> None:
-        self.driver._tell_observers("attempt_began", attempt)
+        """Begin an attempt."""
         self.inner.send(attempt)
 
     def give_up(self, attempt: Attempt) -> None:
+        """Stop waiting for an attempt."""
         self.inner.give_up(attempt)
 
     def told(self, listed: HostList) -> list[Attempt]:
+        """Discovery's list has changed; the attempts that can't begin any more."""
         return self.inner.told(listed)
 
 
+class _ToldHosts(WrappedHosts):
+    """Observers are told of each attempt before it is sent."""
+
+    def __init__(self, inner: Hosts, driver: ExtendedDriver) -> None:
+        super().__init__(inner)
+        self.driver = driver
+
+    def send(self, attempt: Attempt) -> None:
+        self.driver._tell_observers("attempt_began", attempt)
+        super().send(attempt)
+
+
 class ExtendedDriver(Driver):
     """A ``Driver`` whose requests pass stages first, and whose doings observers are told."""
 
@@ -60,9 +74,8 @@
         self.plugs = plugs
         super().__init__(settings, seed, loop)
         self.runs: dict[Call, Run] = {}  # for as long as their calls are open
-        self.decided: dict[
-            int, api.Admit | api.Refuse | None
-        ] = {}  # checks for others that are being decided
+        # Checks for others that are being decided.
+        self.decided: dict[int, api.Admit | api.Refuse | None] = {}
         self.leaving: Call | None = None  # whose client has just gone
         self.faults: Counter[str] = Counter()  # by stage or observer
         if plugs.observers:
@@ -73,33 +86,16 @@
 
     def arrived(self, terms: Terms, parts: tuple[bytes, ...], answer: Callable[[bytes], None]) -> Call:
         """A client's request: counted and guarded first, then the stages, then the decision module."""
-        self.last_number += 1
-        left = max(MS, terms.wait - ON_THE_WAY)
-        call = Call(self._event(self.last_number, terms, left), parts, self.clock() + left, answer)
-        self.calls[self.last_number] = call
-        call.guard = self._at(call.until, self._time_up, call)
+        call = self._take(terms, parts, answer)
         if not self.plugs.stages:
             self.feed(call.event)
             return call
         body = len(parts[5]) if len(parts) > 5 else 0
-        run = Run(call, StagedRequest(self.last_number, parts[2], terms, body, call.until))
+        run = Run(call, StagedRequest(call.event.request, parts[2], terms, body, call.until))
         self.runs[call] = run
         self._through(run, terms, 0)
         return call
 
-    def _event(self, number: int, terms: Terms, left: int) -> api.RequestArrived:
-        return api.RequestArrived(
-            number,
-            terms.customer,
-            terms.plan,
-            terms.kind,
-            terms.units,
-            left,
-            terms.first,
-            terms.spread,
-            terms.is_repeat,
-        )
-
     def _through(self, run: Run, terms: Terms, place: int) -> None:
         """The stages from this one on, as far as they answer at once."""
         stages = self.plugs.stages
@@ -153,21 +149,16 @@
         except StageError as wrong:
             try:
                 result = apply(self._faulty(stage, wrong), terms, plans)
-            except (
-                StageError
-            ):  # not even its fallback is a verdict: nothing was sent, so a refusal is harmless
-                result = Refuse()
+            except StageError:
+                result = Refuse()  # not even its fallback is a verdict; nothing was sent, so this is harmless
         if isinstance(result, Refuse):
-            wait = -(-min(result.retry_after, self.gateway.s.max_retry_after) // MS)
-            self._finish(run.call, b"-BUSY %d\r\n" % wait if wait else b"-BUSY\r\n")
+            self._finish(run.call, busy(min(result.retry_after, self.gateway.s.max_retry_after)))
             return None
         if isinstance(result, Fail):
             self._finish(run.call, FAILED)
             return None
         if result is not terms:
-            run.request = StagedRequest(
-                run.request.number, run.request.client_id, result, run.request.body_bytes, run.call.until
-            )
+            run.request = replace(run.request, terms=result)
         return result
 
     def _decide(self, run: Run, terms: Terms) -> None:
@@ -176,9 +167,10 @@
         if run.late:
             run.late.cancel()
             run.late = None
-        spent = call.event.time_left - max(0, call.until - self.clock())
-        left = max(MS, min(call.event.time_left - spent, terms.wait - ON_THE_WAY - spent))
-        call.event = self._event(call.event.request, terms, left)
+        rest = max(0, call.until - self.clock())
+        spent = call.event.time_left - rest
+        left = max(MS, min(rest, terms.wait - ON_THE_WAY - spent))
+        call.event = replace(call.event, plan=terms.plan, time_left=left)
         until = self.clock() + left
         if until < call.until:  # a stage shortened the wait
             call.until = until
--- a/saffrongw/ledger/gate.py
+++ b/saffrongw/ledger/gate.py
@@ -9,9 +9,8 @@
 from pathlib import Path
 
 from orchidlane import interface as api
-from saffrongw.gateway.config import HostList
 from saffrongw.gateway.driver import Attempt, Call, Hosts
-from saffrongw.gateway.extended import ExtendedDriver
+from saffrongw.gateway.extended import ExtendedDriver, WrappedHosts
 from saffrongw.gateway.plug import Ending, Observer, Pass, Refuse, StagedRequest, Verdict
 
 from .entries import Event, Kind
@@ -22,26 +21,19 @@
 UP_WITHIN = 0.5  # seconds at the start for the ledger to open before clients are served
 
 
-class _GatedHosts:
+class _GatedHosts(WrappedHosts):
     """Sends to hosts, those of unsafe classes once they are written down."""
 
     def __init__(self, inner: Hosts, ledger: Ledger) -> None:
-        self.inner, self.ledger = inner, ledger
+        super().__init__(inner)
+        self.ledger = ledger
 
     def send(self, attempt: Attempt) -> None:
         """At once, or when the intent is durable."""
         if attempt.call.event.kind in self.ledger.kinds:
             self.ledger.intend(attempt, self.inner)
         else:
-            self.inner.send(attempt)
-
-    def give_up(self, attempt: Attempt) -> None:
-        """One that is still being written down was never sent."""
-        self.inner.give_up(attempt)
-
-    def told(self, listed: HostList) -> list[Attempt]:
-        """Discovery's list has changed."""
-        return self.inner.told(listed)
+            super().send(attempt)
 
 
 class Ledger(Observer):
