Ledger: one way in which the store fails, one in which a batch does, one clock

Need: four places turned an error of the database into a closed store, two drained the queue, three forgot a call, and the gate told from a text whether the store had been tried.

Change: Store._closing_on_failure, Writer._at_hand and _failed, Ledger._forget and store.now_us serve all; an event says that the store was tried. A damaged row met while trimming is now named as damaged, as it was at the start.

--- a/saffrongw/ledger/gate.py
+++ b/saffrongw/ledger/gate.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Sequence
 from hashlib import blake2b
 from pathlib import Path
@@ -14,6 +13,7 @@
 from saffrongw.gateway.plug import Ending, Observer, Pass, Refuse, StagedRequest, Verdict
 
 from .entries import Event, Kind
+from .store import now_us
 from .writer import Writer
 
 DIGEST_BYTES = 16
@@ -65,7 +65,7 @@
         driver.wrap_hosts(lambda inner: _GatedHosts(inner, self))
         self.writer.start()
         for _ in range(int(UP_WITHIN / 0.01)):
-            if self.writer.up or self.writer.why != "it is being opened":
+            if self.writer.tried.is_set():
                 break
             await asyncio.sleep(0.01)
 
@@ -97,20 +97,20 @@
         }
         if number not in self.entered:
             data |= self._terms(call)
-        event = Event(self.writer.life, number, Kind.INTENT, self._now(), data)
+        event = Event(self.writer.life, number, Kind.INTENT, now_us(), data)
 
         def done(good: bool) -> None:
             if not good:
                 self.driver.attempt_ended(attempt, api.Outcome.NEVER_SENT)
                 return
             self.entered.setdefault(number, set()).add(ordinal)
-            if (
-                attempt.ended or call.finished
-            ):  # its time was up, or its client had gone, before it was written
+            # Its time may have been up, or its client gone, before it was written.
+            if attempt.ended or call.finished:
                 self._follow(number, Kind.OUTCOME, ordinal=ordinal, outcome="never sent")
                 if not attempt.ended:
                     self.driver.attempt_ended(attempt, api.Outcome.NEVER_SENT)
-                self._forget(call)
+                if call.finished:
+                    self._forget(call)
                 return
             attempt.sent = self.driver.clock()  # the disk's time is not the host's
             hosts.send(attempt)
@@ -141,20 +141,16 @@
             "class": self.classes[event.kind],
             "bytes": len(body),
             "digest": blake2b(body, digest_size=DIGEST_BYTES).hexdigest(),
-            "taken": self._now(),
+            "taken": now_us(),
         }
         return terms | {"body": body.hex()} if self.bodies else terms
 
-    @staticmethod
-    def _now() -> int:
-        return time.time_ns() // 1000
-
     def _follow(self, number: int, kind: Kind, **data) -> None:
-        self.writer.follow(Event(self.writer.life, number, kind, self._now(), data))
+        self.writer.follow(Event(self.writer.life, number, kind, now_us(), data))
 
-    def _forget(self, call: Call) -> None:
-        """Nothing more will come of it: kept no longer."""
-        if call.finished and all(a.ended for a in call.attempts):
+    def _forget(self, call: Call, ending: Attempt | None = None) -> None:
+        """An answered call is kept no longer than the last of its attempts is out."""
+        if all(a.ended or a is ending for a in call.attempts):
             self.entered.pop(call.event.request, None)
 
     # -- the observer -----------------------------------------------------------------------------------------------
@@ -167,9 +163,8 @@
             # What was given up before its last byte had left has not run: hosts begin at the last byte.
             said = "not connected" if never else outcome.value
             self._follow(number, Kind.OUTCOME, ordinal=attempt.number, outcome=said)
-            others = [a for a in attempt.call.attempts if a is not attempt]
-            if attempt.call.finished and all(a.ended for a in others):
-                self.entered.pop(number, None)
+            if attempt.call.finished:
+                self._forget(attempt.call, ending=attempt)
 
     def answered(self, call: Call, reply: bytes) -> None:
         """The final answer is about to be written."""
@@ -177,5 +172,4 @@
         if number in self.entered:
             kind = "served" if reply[:1] == b"$" else "refused" if reply.startswith(b"-BUSY") else "failed"
             self._follow(number, Kind.ANSWER, answer=kind)
-            if all(a.ended for a in call.attempts):
-                self.entered.pop(number, None)
+            self._forget(call)
--- a/saffrongw/ledger/store.py
+++ b/saffrongw/ledger/store.py
@@ -54,7 +54,7 @@
 
         ``StoreError`` names what is wrong: a second process, an unknown schema, a damaged file, a disk that fails.
         """
-        try:
+        with self._closing_on_failure():
             self._take_lock()
             new = not self.path.exists() or not self.path.stat().st_size
             if new:
@@ -65,6 +65,12 @@
             self.db.execute("PRAGMA wal_autocheckpoint=2000")
             self._begin_schema()
             return self._begin_life()
+
+    @contextlib.contextmanager
+    def _closing_on_failure(self) -> Iterator[None]:
+        """Whatever fails leaves as ``StoreError``, and the store closed: it must be opened anew."""
+        try:
+            yield
         except StoreError:
             self.close()
             raise
@@ -126,13 +132,10 @@
     def commit(self, events: Iterable[Event]) -> None:
         """Write a batch; when this returns it is on the disk. ``StoreError``: none of it counts, and the store must
         be opened anew: what a failed fsync left in caches is not to be trusted."""
-        try:
+        with self._closing_on_failure():
             self.db.execute("BEGIN IMMEDIATE")
             self._insert(events)
             self.db.execute("COMMIT")
-        except (sqlite3.Error, OSError) as wrong:
-            self.close()
-            raise StoreError(f"{self.path}: {wrong}") from None
 
     # -- reading --------------------------------------------------------------------------------------------------
 
@@ -197,7 +200,7 @@
 
         What may have run stays until a host's list has settled it. The work is bounded: intents wait meanwhile.
         """
-        try:
+        with self._closing_on_failure():
             large = self.size() > most
             keys = self.db.execute(
                 "SELECT DISTINCT life, number FROM events WHERE (life, number) > (?, ?) ORDER BY life, number LIMIT ?",
@@ -213,9 +216,6 @@
                 self.db.execute("BEGIN IMMEDIATE")
                 self.db.executemany("DELETE FROM events WHERE life=? AND number=?", gone)
                 self.db.execute("COMMIT")
-        except (sqlite3.Error, OSError, DamageError) as wrong:
-            self.close()
-            raise StoreError(f"{self.path}: {wrong}") from None
         return len(gone)
 
     def compact(self, before: int, most: int) -> int:
@@ -223,12 +223,9 @@
         gone, rounds = 0, 2 + self.db.execute("SELECT count(*) FROM events").fetchone()[0] // LOOK_AT
         for _ in range(rounds):
             gone += self.trim(before, most)
-        try:
+        with self._closing_on_failure():
             self.db.execute("VACUUM")
             self.db.execute("PRAGMA wal_checkpoint(TRUNCATE)")
-        except sqlite3.Error as wrong:
-            self.close()
-            raise StoreError(f"{self.path}: {wrong}") from None
         return gone
 
     def close(self) -> None:
@@ -307,6 +304,3 @@
         with other:
             self.db.backup(other)
         other.close()
-
-
-__all__ = ["FILE", "LOCK", "SCHEMA", "Kind", "Reader", "Store", "StoreError", "now_us"]
--- a/saffrongw/ledger/writer.py
+++ b/saffrongw/ledger/writer.py
@@ -30,7 +30,7 @@
 
 
 class Writer:
-    """``submit`` from the loop; the store belongs to the thread."""
+    """``intend`` and ``follow`` from the loop; the store belongs to the thread."""
 
     def __init__(
         self, folder: Path, loop: asyncio.AbstractEventLoop, queue_most: int, keep: float, most: int
@@ -41,9 +41,9 @@
         self.later: deque[Event] = deque(maxlen=LATER_MOST)
         self.pending = 0  # intents whose callbacks have not run yet; on the loop only
         self.up = False
-        self.why = "it is being opened"
+        self.why = ""
+        self.tried = threading.Event()  # the store was opened, or could not be
         self.life = 0
-        self.classed = 0
         self.commits = self.written = 0
         self.ending = threading.Event()
         self.thread = threading.Thread(target=self._run, name="ledger", daemon=True)
@@ -81,7 +81,8 @@
         trimmed = looked = time.monotonic()
         while not self.ending.is_set() or not self.waiting.empty():
             if not self.up and not self._open():
-                self._drain_failed()
+                # While the store is away nothing is held.
+                self._failed(self._at_hand(self.waiting.qsize()))
                 if self.ending.wait(AGAIN):
                     break
                 continue
@@ -106,16 +107,18 @@
 
     def _open(self) -> bool:
         try:
-            self.classed = self.store.open()
+            self.store.open()
         except StoreError as wrong:
             if str(wrong) != self.why:  # once for each cause
                 log.error("ledger: unsafe requests are refused: %s", wrong)
             self.why = str(wrong)
+            self.tried.set()
             return False
         if self.life:
             log.warning("ledger: open again, life %d", self.store.life)
         self.life = self.store.life
         self.up, self.why = True, ""
+        self.tried.set()
         return True
 
     def _batch(self) -> list[tuple[Event, Done | None]]:
@@ -123,15 +126,19 @@
             first = self.waiting.get(timeout=LOOK)
         except queue.Empty:
             return []
-        batch = [] if first is None else [first]
-        while len(batch) < BATCH_MOST:
+        return ([] if first is None else [first]) + self._at_hand(BATCH_MOST - 1)
+
+    def _at_hand(self, most: int) -> list[tuple[Event, Done | None]]:
+        """Up to so many of what waits, without waiting."""
+        found = []
+        while len(found) < most:
             try:
                 item = self.waiting.get_nowait()
             except queue.Empty:
                 break
             if item is not None:
-                batch.append(item)
-        return batch
+                found.append(item)
+        return found
 
     def _commit(self, batch: list[tuple[Event, Done | None]]) -> None:
         late = [self.later.popleft() for _ in range(min(len(self.later), BATCH_MOST))]
@@ -139,9 +146,8 @@
             self.store.commit([*late, *(event for event, _ in batch)])
         except Exception as wrong:  # a disk that fails in any way: nothing of the batch counts
             self.later.extendleft(reversed(late))
-            self.later.extend(event for event, done in batch if done is None)
             self._down(wrong)
-            self._tell(batch, False)
+            self._failed(batch)
             return
         self.commits += 1
         self.written += len(late) + len(batch)
@@ -166,15 +172,7 @@
         self.store.close()
         log.error("ledger: unsafe requests are refused: %s", wrong)
 
-    def _drain_failed(self) -> None:
-        """While the store is away nothing is held: intents fail at once, what may follow is kept for later."""
-        batch = []
-        while True:
-            try:
-                item = self.waiting.get_nowait()
-            except queue.Empty:
-                break
-            if item is not None:
-                batch.append(item)
+    def _failed(self, batch: list[tuple[Event, Done | None]]) -> None:
+        """What was not written: intents hear so, what may follow is kept for later."""
         self.later.extend(event for event, done in batch if done is None)
         self._tell(batch, False)
