Authorisation: figures change in one step, names come from the configuration, one wait for each request

Need: a change of figures set them, undid them on failure and computed the fallback twice; names of classes and plans were sorted in two subsystems; a request that waits stood in two dicts; a hedged pair was dropped by hand though it shares its requests.

Change: AuthzStage.change builds the new asker first, and start uses it; Config.class_names and plan_names; one dict; metadata is read once for each answer.

--- a/saffrongw/authz/attributes.py
+++ b/saffrongw/authz/attributes.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Hashable, Mapping, Sequence
+from collections.abc import Hashable, Mapping
 from dataclasses import dataclass
 
 from google.protobuf.message import DecodeError
@@ -38,15 +38,6 @@
     plans: tuple[str, ...]
     safe: tuple[bool, ...]
 
-    @classmethod
-    def of(cls, classes: Mapping[bytes, int], plans: Mapping[bytes, int], safe: Sequence[bool]) -> Names:
-        """From the gateway's configuration."""
-        return cls(_ordered(classes), _ordered(plans), tuple(safe))
-
-
-def _ordered(numbers: Mapping[bytes, int]) -> tuple[str, ...]:
-    return tuple(name.decode() for name, _ in sorted(numbers.items(), key=lambda item: item[1]))
-
 
 def key_of(request: StagedRequest) -> Hashable:
     """What the answer may hang on: all that the authoriser is shown but the id, the time and the wait."""
@@ -97,18 +88,16 @@
     except DecodeError as wrong:
         raise BadReply(f"not a CheckResponse: {wrong}") from None
     code, which = response.status.code, response.WhichOneof("http_response")
-    told = _told(response.dynamic_metadata)
+    if code == OK and which == "denied_response":
+        raise BadReply("status OK with a denied response")
+    if code != OK and which == "ok_response":
+        raise BadReply(f"status {code} with an ok response")
+    # Older authorisers put it into the ok response, which is empty where there is none.
+    told = _told(response.dynamic_metadata) or _told(response.ok_response.dynamic_metadata)
     lifetime, plan = _lifetime(told), told.get("plan", "")
-    plan = plan if isinstance(plan, str) and len(plan) <= TEXT_MOST else ""
     if code == OK:
-        if which == "denied_response":
-            raise BadReply("status OK with a denied response")
-        if which == "ok_response" and not told:  # where older authorisers put it
-            told = _told(response.ok_response.dynamic_metadata)
-            lifetime, plan = _lifetime(told), str(told.get("plan", ""))[:TEXT_MOST]
-        return Reply(Kind.ALLOW, 0, lifetime, plan)
-    if which == "ok_response":
-        raise BadReply(f"status {code} with an ok response")
+        named = isinstance(plan, str) and len(plan) <= TEXT_MOST
+        return Reply(Kind.ALLOW, 0, lifetime, plan if named else "")
     status = response.denied_response.status.code if which else 0
     retry = _retry_after(response)
     if status in COME_AGAIN or (not status and code in (EXHAUSTED, UNAVAILABLE)):
--- a/saffrongw/authz/checks.py
+++ b/saffrongw/authz/checks.py
@@ -206,14 +206,8 @@
     def drop(self, now: int) -> list[Effect]:
         """The end, or new figures: all that is out is called off, and what waits is settled."""
         effects: list[Effect] = []
-        for number in list(self.flights):
-            if flight := self._land(number):
-                if other := self.flights.get(flight.twin):
-                    other.twin = 0
-                    effects.append(CallOff(flight.twin))
-                    self._land(flight.twin)
-                effects.append(CallOff(number))
-                effects += self._settle_all(flight, UNREACHED)
+        for number in list(self.flights):  # a hedged pair shares its requests: they are settled once
+            effects += [CallOff(number), *self._settle_all(self._land(number), UNREACHED)]
         return effects
 
     # -- parts ------------------------------------------------------------------------------------------------
--- a/saffrongw/authz/stage.py
+++ b/saffrongw/authz/stage.py
@@ -6,7 +6,7 @@
 import logging
 import time
 from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from saffrongw.gateway.driver import Driver
 from saffrongw.gateway.plug import Ending, Fail, Pass, Refuse, StagedRequest, Verdict
@@ -17,10 +17,8 @@
 
 log = logging.getLogger(__name__)
 
-RETIRE_WITHIN, RETIRE_LOOK = (
-    10.0,
-    0.05,
-)  # seconds for checks out when figures change, between two looks at them
+RETIRE_WITHIN = 10.0  # seconds for checks that are out when figures change
+RETIRE_LOOK = 0.05  # seconds between two looks at them
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,20 +26,19 @@
     """What the operators say of replies: fail modes by (class, plan), "" for all; what may be narrowed."""
 
     fail: str = "closed"
-    fail_for: Mapping[tuple[str, str], str] = None  # type: ignore[assignment]
-    may_narrow_plan: Mapping[str, tuple[str, ...]] = None  # type: ignore[assignment]
+    fail_for: Mapping[tuple[str, str], str] = field(default_factory=dict)
+    may_narrow_plan: Mapping[str, tuple[str, ...]] = field(default_factory=dict)
 
     def mode(self, cls: str, plan: str) -> str:
         """``open`` or ``closed`` where no authoriser was reached: the most exact line counts."""
-        table = self.fail_for or {}
         for place in ((cls, plan), (cls, ""), ("", plan)):
-            if place in table:
-                return table[place]
+            if place in self.fail_for:
+                return self.fail_for[place]
         return self.fail
 
     def narrows(self, plan: str, to: str) -> bool:
         """Whether an authoriser may put a request of one plan under another."""
-        return to in (self.may_narrow_plan or {}).get(plan, ())
+        return to in self.may_narrow_plan.get(plan, ())
 
 
 class Asker:
@@ -53,8 +50,7 @@
         self.rules, self.names, self.gateway, self.channels = rules, names, gateway, channels
         self.loop = asyncio.get_running_loop()
         self.checks = Checks(figures, [channel.name for channel in channels], seed)
-        self.waiting: dict[int, asyncio.Future[Verdict]] = {}
-        self.requests: dict[int, StagedRequest] = {}
+        self.waiting: dict[int, tuple[StagedRequest, asyncio.Future[Verdict]]] = {}
         self.out: dict[int, asyncio.Task] = {}  # by flight
         self.messages: dict[int, bytes] = {}  # by flight, for hedges
         self.timers: dict[int, asyncio.TimerHandle] = {}
@@ -87,14 +83,13 @@
         if len(effects) == 1 and isinstance(effects[0], Settle):
             return self._verdict(request, effects[0].reply)
         future: asyncio.Future[Verdict] = self.loop.create_future()
-        self.waiting[number], self.requests[number] = future, request
+        self.waiting[number] = request, future
         self._run(effects, request)
         return future
 
     def leave(self, number: int) -> None:
         """The request is over: a check that nobody waits for is called off, and what it would say is not heard."""
-        self.waiting.pop(number, None)
-        if self.requests.pop(number, None):
+        if self.waiting.pop(number, None):
             self._run(self.checks.leave(number))
 
     def _verdict(self, request: StagedRequest, reply: Reply) -> Verdict:
@@ -117,9 +112,10 @@
     def _run(self, effects: list[Effect], request: StagedRequest | None = None) -> None:
         for effect in effects:
             if isinstance(effect, Settle):
-                future, of = self.waiting.pop(effect.request, None), self.requests.pop(effect.request, None)
-                if future and of and not future.done():
-                    future.set_result(self._verdict(of, effect.reply))
+                if waits := self.waiting.pop(effect.request, None):
+                    of, future = waits
+                    if not future.done():
+                        future.set_result(self._verdict(of, effect.reply))
             elif isinstance(effect, Ask):
                 if request is not None:
                     at = time.time_ns() // 1000
@@ -188,30 +184,22 @@
     ) -> None:
         self.names, self.gateway, self.seed = names, gateway, seed
         self.figures, self.rules, self.make = figures, rules, channels
+        self.fallback: Verdict = Refuse()
         self.asker: Asker | None = None
         self.askers: dict[int, Asker] = {}  # by request that waits
         self.retiring: set[asyncio.Task] = set()
-        self.fallback: Verdict = Refuse()
 
     async def start(self, driver: Driver | None = None) -> None:
         """Open the channels; nothing is waited for: an authoriser may come up later than the gateway."""
-        self._begin()
-
-    def _begin(self) -> None:
-        # What holds where this stage itself fails or the stages' share of time is over.
-        self.fallback = Pass() if self.rules.fail == "open" else Refuse()
-        self.asker = Asker(self.figures, self.rules, self.names, self.make(), self.gateway, self.seed)
+        self.change(self.figures, self.rules, self.make)
 
     def change(self, figures: Figures, rules: Rules, channels: Callable[[], list[Channel]]) -> None:
         """From now on by these; ``OSError`` where a file of TLS can't be read, and then nothing has changed."""
-        old, kept = self.asker, (self.figures, self.rules, self.make)
+        old = self.asker
+        self.asker = Asker(figures, rules, self.names, channels(), self.gateway, self.seed)
         self.figures, self.rules, self.make = figures, rules, channels
-        try:
-            self._begin()
-        except OSError:
-            self.figures, self.rules, self.make = kept
-            self.fallback = Pass() if self.rules.fail == "open" else Refuse()
-            raise
+        # What holds where this stage itself fails or the stages' share of time is over.
+        self.fallback = Pass() if rules.fail == "open" else Refuse()
         if old:
             task = asyncio.get_running_loop().create_task(old.retire())
             self.retiring.add(task)
--- a/saffrongw/gateway/config.py
+++ b/saffrongw/gateway/config.py
@@ -52,6 +52,20 @@
     idle_close: float  # seconds
     connect_timeout: float  # seconds
 
+    @property
+    def class_names(self) -> tuple[str, ...]:
+        """Names of the classes, by their numbers."""
+        return _by_number(self.classes)
+
+    @property
+    def plan_names(self) -> tuple[str, ...]:
+        """Names of the plans, by their numbers."""
+        return _by_number(self.plans)
+
+
+def _by_number(numbers: dict[bytes, int]) -> tuple[str, ...]:
+    return tuple(name.decode() for name, _ in sorted(numbers.items(), key=lambda item: item[1]))
+
 
 def address(text: str) -> Address:
     """``HOST:PORT`` as a pair."""
--- a/saffrongw/wiring.py
+++ b/saffrongw/wiring.py
@@ -72,7 +72,7 @@
     from saffrongw.authz.attributes import Names
 
     safe = [c.effect is Effect.SAFE for c in config.settings.classes]
-    return Names.of(config.classes, config.plans, safe)
+    return Names(config.class_names, config.plan_names, tuple(safe))
 
 
 def _tls(table: TlsTable | None):
@@ -162,7 +162,6 @@
 
     written = {Effect.UNSAFE, Effect.KEYED} if table.keyed else {Effect.UNSAFE}
     kinds = frozenset(n for n, c in enumerate(config.settings.classes) if c.effect in written)
-    classes = [name.decode() for name, _ in sorted(config.classes.items(), key=lambda item: item[1])]
-    plans = [name.decode() for name, _ in sorted(config.plans.items(), key=lambda item: item[1])]
+    classes, plans = config.class_names, config.plan_names
     keep, most = table.keep_days * 86_400, table.most_mb << 20
     return Ledger(table.state_dir, kinds, classes, plans, table.queue, keep, most, table.bodies)
--- a/tests/authz/test_stage.py
+++ b/tests/authz/test_stage.py
@@ -55,7 +55,7 @@
 
     def empty(self) -> bool:
         asker, checks = self.stage.asker, self.stage.asker.checks
-        kept = (checks.flights, checks.of, checks.joinable, asker.waiting, asker.requests, asker.out)
+        kept = (checks.flights, checks.of, checks.joinable, asker.waiting, asker.out)
         kept += (asker.messages, asker.timers, self.stage.askers)
         return not any(kept) and not self.rig.driver.calls and not self.rig.driver.runs
 
