Command line: ledger's commands are always known, one line for what can't be used, one version

Need: whether the ledger's commands were known hung on a look at the first word; two modules worded the same error; the version stood in two places.

--- a/saffrongw/admin/cli.py
+++ b/saffrongw/admin/cli.py
@@ -6,17 +6,15 @@
 import os
 import sys
 from collections.abc import Sequence
-from importlib import metadata
 from pathlib import Path
 
 import tomlform
-from saffrongw import operator
+from saffrongw import __version__, operator
+from saffrongw.admin import unusable
 from saffrongw.gateway import process
 from saffrongw.gateway.config import parse
 from saffrongw.wiring import plugs_of
 
-UNUSABLE = 2
-
 
 def serve(config: str | None = None, operator_file: str | None = None) -> int:
     """Run a gateway; without arguments LB_CONFIG and SAFFRONGW_OPERATOR name the files."""
@@ -24,15 +22,15 @@
     try:
         file = operator.load(name) if name else None
     except tomlform.FormError as wrong:
-        return _wrong(wrong)
+        return unusable(wrong)
     if config is None and "LB_CONFIG" not in os.environ:
-        return _wrong(
+        return unusable(
             "no configuration: name one with --config or LB_CONFIG (`make demo` shows a whole fleet)"
         )
     try:
         return process.run(config, (lambda read: plugs_of(file, read, name)) if file else None)
     except tomlform.FormError as wrong:  # a name that the configuration does not have, or a file of TLS
-        return _wrong(f"{name}: {wrong}")
+        return unusable(f"{name}: {wrong}")
 
 
 def check(path: Path) -> int:
@@ -43,34 +41,49 @@
         elif path.suffix == ".json":
             config = parse(path.read_text())
             if config.known.odd:
-                return _wrong(f"{path}: known.hosts: {config.known.odd} entries make no sense")
+                return unusable(f"{path}: known.hosts: {config.known.odd} entries make no sense")
         else:
-            return _wrong(f"{path}: neither an operator file (.toml) nor a configuration (.json)")
+            return unusable(f"{path}: neither an operator file (.toml) nor a configuration (.json)")
     except tomlform.FormError as wrong:
-        return _wrong(wrong)
+        return unusable(wrong)
     except OSError as wrong:
-        return _wrong(f"{path}: can't be read: {wrong.strerror or wrong}")
+        return unusable(f"{path}: can't be read: {wrong.strerror or wrong}")
     except KeyError as wrong:
-        return _wrong(f"{path}: the key {wrong.args[0]!r} is missing")
+        return unusable(f"{path}: the key {wrong.args[0]!r} is missing")
     except process.UNUSABLE as wrong:
-        return _wrong(f"{path}: {wrong}")
+        return unusable(f"{path}: {wrong}")
     print(f"{path}: good")
     return 0
 
 
 def version() -> int:
     """Print what runs: the project's version, and Python's."""
-    try:
-        number = metadata.version("saffrongw")
-    except metadata.PackageNotFoundError:  # run from its folder, not installed
-        number = "0.2.0"
-    print(f"saffrongw {number} (Python {sys.version.split()[0]})")
+    print(f"saffrongw {__version__} (Python {sys.version.split()[0]})")
     return 0
 
 
-def _wrong(why: object) -> int:
-    print(f"saffrongw: {why}", file=sys.stderr)
-    return UNUSABLE
+def _ledger_commands(commands: argparse._SubParsersAction) -> None:
+    """The command and its own commands; ``ledger.py`` carries them out."""
+    ledger = commands.add_parser("ledger", help="what became of unrepeatable requests")
+    ledger.add_argument("--state", type=Path, required=True, metavar="DIR", help="the state_dir of [ledger]")
+    ledger.add_argument("--json", action="store_true", help="JSON lines")
+    what = ledger.add_subparsers(dest="what", required=True)
+    show = what.add_parser("show", help="the newest entries")
+    show.add_argument("--number", type=int, default=50)
+    find = what.add_parser("find", help="entries of a customer or of a client's id")
+    find.add_argument("text")
+    what.add_parser("open", help="entries that may have run and are not settled")
+    told = what.add_parser("explain", help="what is known of one entry, in sentences")
+    told.add_argument("id", help="LIFE-NUMBER, or the client's id")
+    what.add_parser("export", help="every entry, as JSON lines")
+    what.add_parser("verify", help="look through the whole file; status 1 where it is damaged")
+    small = what.add_parser("compact", help="forget old settled entries, give room back (no gateway may run)")
+    small.add_argument("--keep-days", type=float, default=90.0)
+    small.add_argument("--most-mb", type=int, default=512)
+    back = what.add_parser("backup", help="a copy of one moment")
+    back.add_argument("file", type=Path)
+    lists = what.add_parser("import", help="a host's own list of issued reports")
+    lists.add_argument("file", type=Path)
 
 
 def main(argv: Sequence[str] | None = None) -> int:
@@ -83,14 +96,10 @@
     look = commands.add_parser("check", help="validate an operator file or a configuration")
     look.add_argument("file", type=Path)
     commands.add_parser("version", help="print the version")
-    wanted = list(sys.argv[1:] if argv is None else argv)
-    if "ledger" in wanted[:1] or not wanted or wanted[0].startswith("-"):
-        from . import ledger  # only here: other commands load nothing of it
-
-        ledger.add_to(commands)
+    _ledger_commands(commands)
     given = parser.parse_args(argv)
     if given.command == "ledger":
-        from . import ledger
+        from . import ledger  # only here: other commands load nothing of it
 
         return ledger.run(given)
     if given.command == "serve":
--- a/saffrongw/admin/ledger.py
+++ b/saffrongw/admin/ledger.py
@@ -9,38 +9,14 @@
 from datetime import UTC, datetime
 from pathlib import Path
 
+from saffrongw.admin import unusable
 from saffrongw.ledger.entries import Entry, Meaning, explain
 from saffrongw.ledger.reconcile import ListError, parse, reconcile
 from saffrongw.ledger.store import Reader, Store, StoreError, now_us
 
-UNUSABLE = 2
 HAND_IN_WITHIN = 10.0  # seconds for a gateway in service to take what an import found
 
 
-def add_to(commands: argparse._SubParsersAction) -> None:
-    """The command and its own commands."""
-    ledger = commands.add_parser("ledger", help="what became of unrepeatable requests")
-    ledger.add_argument("--state", type=Path, required=True, metavar="DIR", help="the state_dir of [ledger]")
-    ledger.add_argument("--json", action="store_true", help="JSON lines")
-    what = ledger.add_subparsers(dest="what", required=True)
-    show = what.add_parser("show", help="the newest entries")
-    show.add_argument("--number", type=int, default=50)
-    find = what.add_parser("find", help="entries of a customer or of a client's id")
-    find.add_argument("text")
-    what.add_parser("open", help="entries that may have run and are not settled")
-    told = what.add_parser("explain", help="what is known of one entry, in sentences")
-    told.add_argument("id", help="LIFE-NUMBER, or the client's id")
-    what.add_parser("export", help="every entry, as JSON lines")
-    what.add_parser("verify", help="look through the whole file; status 1 where it is damaged")
-    small = what.add_parser("compact", help="forget old settled entries, give room back (no gateway may run)")
-    small.add_argument("--keep-days", type=float, default=90.0)
-    small.add_argument("--most-mb", type=int, default=512)
-    back = what.add_parser("backup", help="a copy of one moment")
-    back.add_argument("file", type=Path)
-    lists = what.add_parser("import", help="a host's own list of issued reports")
-    lists.add_argument("file", type=Path)
-
-
 def when(at: int) -> str:
     """A time as people read it."""
     if not at:
@@ -111,10 +87,9 @@
             return _compact(given)
         return _read(given, Reader(given.state))
     except (StoreError, ListError) as wrong:
-        print(f"saffrongw: {wrong}", file=sys.stderr)
+        return unusable(wrong)
     except OSError as wrong:
-        print(f"saffrongw: {wrong.filename or ''}: {wrong.strerror or wrong}", file=sys.stderr)
-    return UNUSABLE
+        return unusable(f"{wrong.filename or ''}: {wrong.strerror or wrong}")
 
 
 def _read(given: argparse.Namespace, reader: Reader) -> int:
@@ -132,8 +107,7 @@
     if given.what == "explain":
         chosen = [e for e in entries if given.id in (e.name, e.client_id)]
         if not chosen:
-            print(f"saffrongw: no entry is called {given.id!r}", file=sys.stderr)
-            return UNUSABLE
+            return unusable(f"no entry is called {given.id!r}")
         print("\n".join(explain(entry, when) for entry in chosen))
         return 0
     if given.what == "find":
