Stand-ins: an operator file is a world's own, an address one text; what nothing used is gone

Need: three ways gave gateways an operator file (a method, a derived world, a patched one); begin and end of a run were looked up in three places, addresses worded in three; a silent agent had its own twin of who is owed an answer; findings were counted anew for each.

Change: World(operator=), Log.began and finished, relay.text_of and LOCAL, AgentServer.changed serve all; unused names left.

--- a/benchmarks/grpc_libraries.py
+++ b/benchmarks/grpc_libraries.py
@@ -21,11 +21,9 @@
 REPLY = b"\n\x00"
 
 
-async def serve() -> None:
-    """An authoriser that allows all, by grpclib, on a port that it prints."""
-    from grpclib.const import Cardinality, Handler
+def raw_codec():
+    """Bytes as they are, for grpclib; imported only in the parts that measure it."""
     from grpclib.encoding.base import CodecBase
-    from grpclib.server import Server
 
     class Raw(CodecBase):
         __content_subtype__ = "proto"
@@ -36,6 +34,14 @@
         def decode(self, data, message_type):
             return bytes(data)
 
+    return Raw()
+
+
+async def serve() -> None:
+    """An authoriser that allows all, by grpclib, on a port that it prints."""
+    from grpclib.const import Cardinality, Handler
+    from grpclib.server import Server
+
     async def check(stream) -> None:
         await stream.recv_message()
         await stream.send_message(REPLY)
@@ -44,7 +50,7 @@
         def __mapping__(self):
             return {METHOD: Handler(check, Cardinality.UNARY_UNARY, bytes, bytes)}
 
-    server = Server([Service()], codec=Raw())
+    server = Server([Service()], codec=raw_codec())
     await server.start("127.0.0.1", 0)
     print(server._server.sockets[0].getsockname()[1], flush=True)
     await asyncio.sleep(600)
@@ -60,18 +66,8 @@
 
 async def by_grpclib(port: int, number: int, width: int) -> None:
     from grpclib.client import Channel, UnaryUnaryMethod
-    from grpclib.encoding.base import CodecBase
-
-    class Raw(CodecBase):
-        __content_subtype__ = "proto"
-
-        def encode(self, message, message_type):
-            return message
-
-        def decode(self, data, message_type):
-            return bytes(data)
 
-    channel = Channel("127.0.0.1", port, codec=Raw())
+    channel = Channel("127.0.0.1", port, codec=raw_codec())
     method = UnaryUnaryMethod(channel, METHOD, bytes, bytes)
     await _drive(lambda: method(BODY, timeout=5), number, width)
     channel.close()
--- a/benchmarks/ledger_cost.py
+++ b/benchmarks/ledger_cost.py
@@ -41,17 +41,7 @@
 async def one(folder: Path, on: bool) -> dict[str, list[float]]:
     """Milliseconds from sent to served, by class."""
     folder.mkdir()
-    world = World(DAY, folder)
-    if on:
-        path = folder / "operator.toml"
-        path.write_text(f'[ledger]\nstate_dir = "{folder / "state"}"\n')
-        plain = world._start_gateway
-
-        async def start(gateway, known=None) -> None:
-            gateway.variables["SAFFRONGW_OPERATOR"] = str(path)
-            await plain(gateway, known)
-
-        world._start_gateway = start
+    world = World(DAY, folder, operator=f'[ledger]\nstate_dir = "{folder / "state"}"\n' if on else "")
     try:
         log = await world.run()
     finally:
--- a/standin/authoriser.py
+++ b/standin/authoriser.py
@@ -20,6 +20,8 @@
 import h2.settings
 from envoy.service.auth.v3 import external_auth_pb2 as published
 
+from .relay import LOCAL, text_of
+
 PATH = "/envoy.service.auth.v3.Authorization/Check"
 MODES = (
     "answer",  # as decided
@@ -180,13 +182,11 @@
     @property
     def address(self) -> str:
         """Where it listens."""
-        return f"127.0.0.1:{self.port}"
+        return text_of((LOCAL, self.port))
 
     async def start(self) -> Authoriser:
         """Listen, at the same port as before if there was one."""
-        self.server = await self.loop.create_server(
-            lambda: _Connection(self), "127.0.0.1", self.port, ssl=self.ssl
-        )
+        self.server = await self.loop.create_server(lambda: _Connection(self), LOCAL, self.port, ssl=self.ssl)
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
--- a/standin/checker.py
+++ b/standin/checker.py
@@ -19,11 +19,9 @@
 from .record import (
     Answered,
     Attempt,
-    Began,
     Closed,
     Effect,
     Extra,
-    Finished,
     GatewayEvent,
     HostEvent,
     Late,
@@ -123,13 +121,14 @@
         """All but the curves, in plain types."""
         raw = asdict(self)
         for tally in (*raw["plans"].values(), *raw["classes"].values()):
-            tally["latency_ms"] = _percentiles(tally.pop("latencies"))
+            tally["latency_ms"] = percentiles(tally.pop("latencies"))
         for use in raw["uses"]:
             use.pop("curve")
         return raw
 
 
-def _percentiles(latencies: list[int]) -> dict[str, float]:
+def percentiles(latencies: list[int]) -> dict[str, float]:
+    """p50, p90 and p99 in ms of latencies in us; nothing where there are none."""
     if not latencies:
         return {}
     ordered = sorted(latencies)
@@ -158,7 +157,7 @@
 
     def __init__(self, scenario: Scenario, log: Log) -> None:
         # What comes after the end is the stand-ins going away, not a gateway's doing.
-        end = next((r.at for r in log.of(Finished)), None)
+        end = log.finished
         if end is not None:
             log = Log(r for r in log.records if r.at <= end or isinstance(r, GatewayEvent))
         self.s, self.log = scenario, log
@@ -166,8 +165,8 @@
         self.counts: dict[str, int] = defaultdict(int)
         self.plans = {plan.name: plan for plan in scenario.plan}
         self.classes = {cls.name: cls for cls in scenario.cls}
-        self.begin = next((r.at for r in log.of(Began)), 0)
-        self.end = next((r.at for r in log.of(Finished)), max((r.at for r in log.records), default=0))
+        self.begin = log.began
+        self.end = max((r.at for r in log.records), default=0) if end is None else end
         self.late = _Spans((r.at, r.until, r.until - r.at) for r in log.of(Late))
         by_gateway: dict[int, list[tuple[int, int, int]]] = defaultdict(list)
         for r in log.of(Starved):
@@ -247,7 +246,7 @@
 
     def _find(self, rule: str, at: int, what: str, certain: bool = True, **more: Any) -> None:
         self.counts[rule] += 1
-        if sum(1 for f in self.findings if f.rule == rule) < FINDINGS_MOST:
+        if self.counts[rule] <= FINDINGS_MOST:
             self.findings.append(Finding(rule, at, what, certain=certain, **more))
 
     # -- the rules --------------------------------------------------------------------------------------------
--- a/standin/discovery.py
+++ b/standin/discovery.py
@@ -10,6 +10,7 @@
 import h11
 
 from .registry import Agent, Line
+from .relay import LOCAL
 
 PATH = "/registry/instances"
 WAIT_MOST = 60.0
@@ -102,7 +103,7 @@
     async def listen(self) -> None:
         """At a new address; an old one stops taking connections and closes the open ones after 1.5 s."""
         old, calls = self.server, set(self.open)
-        self.server = await self.loop.create_server(lambda: _Call(self), "127.0.0.1", 0)
+        self.server = await self.loop.create_server(lambda: _Call(self), LOCAL, 0)
         self.address = self.server.sockets[0].getsockname()
         if old:
             old.close()
@@ -125,17 +126,14 @@
     def changed(self) -> None:
         """Something has come: the watches that wait are answered."""
         for call in list(self.open):
-            if call.index is not None and (call.index < 0 or self.agent.news(call.index)):
+            # One without a timer asked for the whole list, or its wait is over.
+            if call.index is not None and (call.timer is None or self.agent.news(call.index)):
                 self.answer(call)
 
     def silence(self, silent: bool) -> None:
         """Discovery goes down, or is back."""
         self.silent = silent
-        for call in list(self.open) if not silent else ():
-            if call.index is not None and (
-                call.index < 0 or call.timer is None or self.agent.news(call.index)
-            ):
-                self.answer(call)
+        self.changed()
 
     def close(self) -> None:
         """The end."""
--- a/standin/host_model.py
+++ b/standin/host_model.py
@@ -79,10 +79,10 @@
 class HostModel:
     """The state of one life of one host."""
 
-    def __init__(self, figures: Hosts, rack: Rack, seed: str, born: int, cold: bool, now: int) -> None:
+    def __init__(self, figures: Hosts, rack: Rack, seed: str, cold: bool, now: int) -> None:
         self.f, self.rack, self.random = figures, rack, random.Random(seed)
         self.speed = self.random.uniform(*figures.speed)
-        self.born, self.cold = born, cold
+        self.born, self.cold = now, cold
         self.now = now
         self.virtual = 0.0  # seconds of work that each job in work has had
         self.working: list[tuple[float, int, Job]] = []
@@ -91,7 +91,7 @@
         self.orders = 0
         self.pressed: deque[tuple[int, float]] = deque()  # work that has come within the last span
         self.fallen = False
-        self.busy_since, self.busy_area = now, 0.0
+        self.busy_area = 0.0
         self.period = int(self.random.uniform(*figures.report_period_ms) * 1000)
         self.reported_at, self.report = now, "util=0,latency_ms=1,inflight=0"
         self.latency = 0.0
--- a/standin/hosts.py
+++ b/standin/hosts.py
@@ -12,12 +12,11 @@
 
 from .host_model import HostModel, Job, Rack, Took
 from .record import Attempt, Effect, HostEvent, Log, Made, Turned
-from .relay import LOCAL, Session, TcpRelay, reset
+from .relay import LOCAL, Session, TcpRelay, reset, text_of
 from .scenario import Class, Scenario
 
 _TERMS = {"c", "t", "d", "units", "spread", "first"}
 _CUSTOMER = re.compile(rb"[0-9a-f]{16}")
-PIPELINE_MOST = 32
 SPOILS = ("noise", "length", "endless", "huge", "doubled", "report", "ahead")
 HARMLESS = ("doubled", "report")  # the value itself is whole and good
 HUGE_CHUNKS = 32  # of 64 KiB that a value without end sends at most
@@ -155,13 +154,9 @@
         """Whether its process runs."""
         return self.server is not None
 
-    def relay(self, gateway: int) -> TcpRelay:
-        """The relay through which a gateway reaches it."""
-        return self.relays[gateway]
-
     def dial(self, gateway: int) -> str:
         """Where a gateway finds it."""
-        return ":".join(map(str, self.relays[gateway].address))
+        return text_of(self.relays[gateway].address)
 
     async def start(self, cold: bool) -> None:
         """A new life; its address stays."""
@@ -171,7 +166,7 @@
         self.born_ms = fleet.clock.unix_ms(now) if cold else 0
         rack = fleet.racks.setdefault(self.rack_number, Rack())
         seed = f"{fleet.scenario.seed}:{self.name}:{self.life}"
-        self.model = HostModel(fleet.scenario.hosts, rack, seed, now, cold, now)
+        self.model = HostModel(fleet.scenario.hosts, rack, seed, cold, now)
         self.server = await fleet.loop.create_server(lambda: _HostConnection(self), LOCAL, 0)
         if not self.relays:
             self.new_address()
--- a/standin/processes.py
+++ b/standin/processes.py
@@ -18,9 +18,9 @@
 from typing import Any
 
 from .record import GatewayEvent, Log, Starved
+from .relay import LOCAL, text_of
 
 ROOT = Path(__file__).parent.parent
-LOCAL = "127.0.0.1"
 READY_WITHIN = 20.0
 EXIT_WITHIN = 5.0  # seconds after SIGTERM until SIGKILL
 LOOK = 0.1  # seconds between two looks at how long gateways waited for a core
@@ -89,7 +89,7 @@
         """Start a life and wait until it answers PING; ``told`` notes the list that it is given."""
         variables = {
             "LB_NAME": f"n{self.number}",
-            "LB_LISTEN": ":".join(map(str, self.listen)),
+            "LB_LISTEN": text_of(self.listen),
             "LB_DISCOVERY": self.config["discovery"],
             "LB_CONFIG": str(self.path),
             "TMPDIR": str(self.folder),
--- a/standin/record.py
+++ b/standin/record.py
@@ -257,6 +257,16 @@
         """Those of one kind."""
         return (record for record in self.records if type(record) is kind)  # type: ignore[misc]
 
+    @property
+    def began(self) -> int:
+        """When the day began; 0 where it did not."""
+        return next((record.at for record in self.of(Began)), 0)
+
+    @property
+    def finished(self) -> int | None:
+        """When the run was over; None where it was not."""
+        return next((record.at for record in self.of(Finished)), None)
+
     def save(self, path: Path) -> None:
         """One JSON line a record."""
         with path.open("w") as file:
--- a/standin/relay.py
+++ b/standin/relay.py
@@ -19,6 +19,11 @@
 RESET = struct.pack("ii", 1, 0)
 
 
+def text_of(address: Address) -> str:
+    """``HOST:PORT``."""
+    return f"{address[0]}:{address[1]}"
+
+
 def reset(transport: asyncio.Transport | None) -> None:
     """End a connection with RST, as the kernel of a process that died does with unread data."""
     if transport is None or transport.is_closing():
@@ -176,15 +181,8 @@
 
     def _plan(self, side: _Side) -> None:
         fault = self.fault
-        wait = (
-            0.0
-            if fault is None
-            else fault.delay
-            if fault.mode == "delay"
-            else 0.01
-            if fault.mode == "throttle"
-            else 0.0
-        )
+        waits = {"delay": fault.delay, "throttle": 0.01} if fault else {}
+        wait = waits.get(fault.mode, 0.0) if fault else 0.0
         self.slow[side.up] = self.loop.call_later(wait, self._drip, side)
 
     def _drip(self, side: _Side) -> None:
--- a/standin/report.py
+++ b/standin/report.py
@@ -8,8 +8,8 @@
 from collections.abc import Iterable, Sequence
 from pathlib import Path
 
-from .checker import RULES, Finding, Tally, Verdict, _percentiles
-from .record import Answered, Began, Closed, Fault, Finished, GatewayEvent, Late, Log, Sent
+from .checker import RULES, Finding, Tally, Verdict, percentiles
+from .record import Answered, Closed, Fault, GatewayEvent, Late, Log, Sent
 from .scenario import Scenario
 
 BIN = 500_000  # us of one step of the timeline
@@ -36,7 +36,7 @@
 def _service(tallies: dict[str, Tally]) -> list[list[str]]:
     rows = []
     for name, t in tallies.items():
-        times = _percentiles(t.latencies)
+        times = percentiles(t.latencies)
         share = t.worth_served / t.worth_inside if t.worth_inside else 1.0
         rows.append(
             [name, t.offered, t.served, t.in_time, t.refused, t.failed, f"{share:.3f}"]
@@ -62,7 +62,7 @@
 
 def table(scenario: Scenario, log: Log, verdict: Verdict) -> str:
     """All that a person wants to see in a terminal."""
-    begin = next((r.at for r in log.of(Began)), 0)
+    begin = log.began
     parts = [one_line(scenario, verdict), ""]
     parts.append(_rows([HEADS, *_service(verdict.plans), *_service(verdict.classes)]))
     uses = sorted(verdict.uses, key=lambda u: -(u.beyond / max(1, u.allowed_beyond)))[:5]
@@ -245,8 +245,8 @@
 
 def page(scenario: Scenario, log: Log, verdict: Verdict) -> str:
     """One HTML page with everything in it."""
-    begin = next((r.at for r in log.of(Began)), 0)
-    end = next((r.at for r in log.of(Finished)), begin + int(scenario.length_s * SECOND))
+    begin = log.began
+    end = begin + int(scenario.length_s * SECOND) if log.finished is None else log.finished
     asked = {p.name: p.burst + p.rate * scenario.length_s for p in scenario.plan}
     uses = sorted(verdict.uses, key=lambda u: -(u.asked / asked[u.plan]))[:CURVES]
     counts = Counter(verdict.counts)
--- a/standin/runs.py
+++ b/standin/runs.py
@@ -89,6 +89,3 @@
 def rejudge(scenario: Scenario, path: Path) -> Verdict:
     """The verdict on evidence that was kept."""
     return judge(scenario, Log.load(path))
-
-
-__all__ = ["STATUS", "Run", "many", "names", "rejudge", "run"]
--- a/standin/scenario.py
+++ b/standin/scenario.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -307,11 +306,6 @@
     return max(1.0, 0.1 * plan.burst * plan.ceiling)
 
 
-def settings_text(scenario: Scenario, rank: int) -> str:
-    """The same as JSON."""
-    return json.dumps(settings_of(scenario, rank))
-
-
 def operator_text(scenario: Scenario, addresses: list[str]) -> str:
     """The operator file of gateways that ask these authorisers."""
     a = scenario.authoriser
--- a/standin/world.py
+++ b/standin/world.py
@@ -21,7 +21,7 @@
 from .record import Began, Finished, Late, Log, Told
 from .record import Fault as FaultBegan
 from .registry import Agent, Change, Line, Registry
-from .relay import TcpFault, UdpRelay, Way
+from .relay import TcpFault, UdpRelay, Way, text_of
 from .scenario import Fault, Scenario, operator_text, settings_of
 
 REFUSE = TcpFault("refuse")
@@ -36,7 +36,8 @@
 class World:
     """All parts of one run. ``run`` leaves the log; ``close`` ends everything that was started, in any case."""
 
-    def __init__(self, scenario: Scenario, folder: Path, run: str | None = None) -> None:
+    def __init__(self, scenario: Scenario, folder: Path, run: str | None = None, operator: str = "") -> None:
+        self.operator = operator  # the operator file of all gateways; none where it is empty
         self.scenario, self.folder = scenario, folder
         self.loop = asyncio.get_running_loop()
         self.clock, self.log = Clock(), Log()
@@ -83,6 +84,11 @@
             self.gateways.append(GatewayProcess(number, self.folder, self.clock, self.log, self.run_line))
         if s.authoriser.count:
             await self._open_authorisers()
+        if self.operator:
+            path = self.folder / "operator.toml"
+            path.write_text(self.operator)
+            for gateway in self.gateways:
+                gateway.variables["SAFFRONGW_OPERATOR"] = str(path)
         way = Way((s.network.peer_ms[0] / 1000, s.network.peer_ms[1] / 1000), s.network.peer_loss)
         self.udp = UdpRelay([g.peer_listen for g in self.gateways], f"{s.seed}:udp", way)
         await self.udp.open()
@@ -104,10 +110,7 @@
         for number in range(a.count):
             seed = f"{self.scenario.seed}:authoriser:{number}"
             self.authorisers.append(await Authoriser(decide, seed, self.plain).start())
-        path = self.folder / "operator.toml"
-        path.write_text(operator_text(self.scenario, [one.address for one in self.authorisers]))
-        for gateway in self.gateways:
-            gateway.variables["SAFFRONGW_OPERATOR"] = str(path)
+        self.operator += operator_text(self.scenario, [one.address for one in self.authorisers])
 
     def _line(self, host: StandinHost) -> Line:
         return Line(host.name, host.zone, host.rack_number, "SERVING", host.born_ms)
@@ -134,13 +137,13 @@
         gateway.write(
             {
                 "name": f"n{number}",
-                "listen": _text(gateway.listen),
-                "discovery": _text(self.servers[number].address),
+                "listen": text_of(gateway.listen),
+                "discovery": text_of(self.servers[number].address),
                 "seed": secrets.token_hex(8),
                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.scenario.sockets},
-                "peer_listen": _text(gateway.peer_listen),
-                "peers": [_text(peer) for peer in peers],
-                "peers_all": _text(udp.address(number, None)),
+                "peer_listen": text_of(gateway.peer_listen),
+                "peers": [text_of(peer) for peer in peers],
+                "peers_all": text_of(udp.address(number, None)),
                 "known": known,
                 "settings": settings_of(self.scenario, number),
             }
@@ -203,8 +206,10 @@
         await asyncio.gather(*(g.terminate() for g in self.gateways), return_exceptions=True)
         if self.udp:
             self.udp.close()
-        for server in (*self.servers, *self.authorisers):
-            (server.close if server in self.servers else server.stop)()
+        for server in self.servers:
+            server.close()
+        for authoriser in self.authorisers:
+            authoriser.stop()
         self.fleet.close()
         await asyncio.sleep(0)
 
@@ -301,7 +306,7 @@
                 if gateway.ready:
                     server = self.servers[gateway.number]
                     await server.listen()
-                    gateway.write(gateway.config | {"discovery": _text(server.address)})
+                    gateway.write(gateway.config | {"discovery": text_of(server.address)})
                     gateway.signal(signal.SIGHUP, "hup")
             await asyncio.sleep(fault.gap_s)
 
@@ -449,10 +454,6 @@
         await asyncio.gather(*tasks)
 
 
-def _text(address: tuple[str, int]) -> str:
-    return f"{address[0]}:{address[1]}"
-
-
 async def play(
     scenario: Scenario, folder: Path, run: str | None = None, progress: Progress | None = None
 ) -> tuple[Log, World]:
--- a/tests/ledger/test_kills.py
+++ b/tests/ledger/test_kills.py
@@ -11,6 +11,7 @@
 import subprocess
 import sys
 from collections import Counter
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -41,26 +42,10 @@
 )
 
 
-class Killed(World):
-    """A world whose gateway kills itself."""
-
-    def __init__(self, scenario: Scenario, folder: Path, run: str, state: Path) -> None:
-        super().__init__(scenario, folder, run)
-        path = folder / "operator.toml"
-        path.write_text(f'[ledger]\nstate_dir = "{state}"\n')
-        self.variables = {"SAFFRONGW_OPERATOR": str(path)}
-
-    async def _start_gateway(self, gateway, known=None) -> None:
-        gateway.variables |= self.variables
-        await super()._start_gateway(gateway, known)
-
-
 async def play(folder: Path, state: Path, step: str, number: int, seed: int) -> World:
     folder.mkdir(parents=True, exist_ok=True)
     line = f"exec {shlex.quote(sys.executable)} -m tests.ledger.killers {step} {number}"
-    from dataclasses import replace
-
-    world = Killed(replace(DAY, seed=seed), folder, line, state)
+    world = World(replace(DAY, seed=seed), folder, line, f'[ledger]\nstate_dir = "{state}"\n')
     try:
         await world.open()
         world.begin = world.clock()
--- a/tests/standin/test_models.py
+++ b/tests/standin/test_models.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import json
 
 import pytest
 from hypothesis import given
@@ -22,7 +23,7 @@
 
 
 def model(cold=False, rack=None, now=0, **changes) -> HostModel:
-    return HostModel(dataclasses.replace(FIGURES, **changes), rack or Rack(), "seed", now, cold, now)
+    return HostModel(dataclasses.replace(FIGURES, **changes), rack or Rack(), "seed", cold, now)
 
 
 def job(request="r", work=1.0, key="", window=5 * S) -> Job:
@@ -292,7 +293,7 @@
     from orchidlane import wire
 
     day = Scenario("x")
-    read = wire.parse_settings(scenario.settings_text(day, 1).encode())
+    read = wire.parse_settings(json.dumps(settings_of(day, 1)).encode())
     assert (read.rank, read.gateways, len(read.classes), len(read.plans)) == (1, 3, 3, 2)
     amplio, plan = read.plans[1], day.plan[1]
     assert amplio.ceiling_rate == plan.rate * plan.ceiling
