Tests of the program share one configuration and a port that no other test can be given

Seen: in a run of make test two of 685 failed, one test's caller having reached another test's host: the port that a probe had let go was given to that host before the program had bound it. test_wiring.py had its own copy of that probe.

--- a/tests/authz/test_wiring.py
+++ b/tests/authz/test_wiring.py
@@ -6,13 +6,12 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 from pathlib import Path
 
 import pytest
-from conftest import SITE, Caller, FakeHost, asyncio_test, error, until
+from conftest import SITE, Caller, FakeHost, asyncio_test, configured, error, until
 
 from saffrongw.admin import cli
 from standin.authoriser import Authoriser, deny
@@ -20,17 +19,6 @@
 ROOT = Path(__file__).parent.parent.parent
 
 
-def configuration(folder: Path, **changes) -> tuple[Path, int]:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port = probe.getsockname()[1]
-    text = {"name": "n0", "listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:1", "seed": "01"}
-    text |= {"limits": {"sockets": 128}, "settings": SITE} | changes
-    path = folder / "config.json"
-    path.write_text(json.dumps(text))
-    return path, port
-
-
 @pytest.mark.parametrize(
     ("text", "expected"),
     [
@@ -72,7 +60,7 @@
     ],
 )
 def test_what_the_configuration_does_not_have_ends_the_start(tmp_path, more, expected):
-    path, _ = configuration(tmp_path)
+    path, _ = configured(tmp_path)
     operator = tmp_path / "o.toml"
     operator.write_text('[authz]\nauthorisers = ["127.0.0.1:1"]\n' + more)
     done = subprocess.run(
@@ -104,7 +92,7 @@
 async def test_a_process_asks_and_changes_its_authoriser_on_sighup(tmp_path):
     host = await FakeHost("a").listen()
     lines = [host.line(host=name) for name in "abcdef"]
-    path, port = configuration(tmp_path, known={"seq": 1, "whole": True, "hosts": lines})
+    path, port = configured(tmp_path, known={"seq": 1, "whole": True, "hosts": lines})
     first, second = await Authoriser().start(), await Authoriser(lambda request: deny()).start()
     operator = tmp_path / "o.toml"
     operator.write_text(f'[authz]\nauthorisers = ["{first.address}"]\n')
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,7 @@
 import dataclasses
 import functools
 import json
+from pathlib import Path
 
 import hiredis
 import pytest
@@ -17,6 +18,7 @@
 from saffrongw.gateway.clients import Clients
 from saffrongw.gateway.driver import Driver
 from saffrongw.gateway.hosts import Hosts
+from standin.processes import free_port
 
 SECOND = 1_000_000
 T0 = 1_000 * SECOND  # a clock time well after any start
@@ -191,6 +193,19 @@
     return str(reply)
 
 
+def configured(folder: Path, **changes) -> tuple[Path, int]:
+    """A configuration file for the program itself, and the port on which it will listen.
+
+    Not one of those that port 0 gives: another test's host could take it before the program has bound it.
+    """
+    port = free_port()
+    text = {"name": "n0", "listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:1", "seed": "01"}
+    text |= {"limits": {"sockets": 128}, "settings": SITE} | changes
+    path = folder / "config.json"
+    path.write_text(json.dumps(text))
+    return path, port
+
+
 class HostPeer(asyncio.Protocol):
     """A host on loopback: keeps the commands it got, answers by ``script`` (None: not at all)."""
 
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -12,7 +12,7 @@
 
 import hiredis
 import pytest
-from conftest import SITE, Caller, FakeHost, Rig, asyncio_test, error, until, value
+from conftest import SITE, Caller, FakeHost, Rig, asyncio_test, configured, error, until, value
 
 from orchidlane import interface as api
 from saffrongw.gateway.clients import IDLE_LEAST, SWEEP, WAITING_MOST
@@ -348,14 +348,8 @@
 
 async def started(host: FakeHost, folder, **changes):
     """The program itself: the process, a way to connect to it, and its configuration's file."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port = probe.getsockname()[1]
-    text = {"name": "n0", "listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:1", "seed": "01"}
     known = {"seq": 1, "whole": True, "hosts": [host.line(host=name) for name in "abcdef"]}
-    text |= {"limits": {"sockets": 128}, "known": known, "settings": SITE} | changes
-    file = folder / "config.json"
-    file.write_text(json.dumps(text))
+    file, port = configured(folder, **({"known": known} | changes))
     process = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "saffrongw", env=os.environ | {"LB_CONFIG": str(file)}
     )
