A stand-in authoriser's port is its own while it is away

With it, a port that an authoriser has let go for a restart is not one that port 0 gives to another test.

--- a/standin/authoriser.py
+++ b/standin/authoriser.py
@@ -20,6 +20,7 @@
 import h2.settings
 from envoy.service.auth.v3 import external_auth_pb2 as published
 
+from .processes import free_port
 from .relay import LOCAL, text_of
 
 PATH = "/envoy.service.auth.v3.Authorization/Check"
@@ -185,9 +186,9 @@
         return text_of((LOCAL, self.port))
 
     async def start(self) -> Authoriser:
-        """Listen, at the same port as before if there was one."""
+        """Listen, at the same port as before if there was one: nobody is given it while this one is away."""
+        self.port = self.port or free_port()
         self.server = await self.loop.create_server(lambda: _Connection(self), LOCAL, self.port, ssl=self.ssl)
-        self.port = self.server.sockets[0].getsockname()[1]
         return self
 
     def stop(self) -> None:
