--- a/saffrongw/ledger/gate.py
+++ b/saffrongw/ledger/gate.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Sequence
+from dataclasses import dataclass, field
 from hashlib import blake2b
 from pathlib import Path
 
@@ -36,6 +37,14 @@
             super().send(attempt)
 
 
+@dataclass(slots=True)
+class _Entered:
+    """A request whose first intent is on the disk: the life that it is written under, attempts that are recorded."""
+
+    life: int
+    ordinals: set[int] = field(default_factory=set)
+
+
 class Ledger(Observer):
     """Stage, observer and service in one: refuses while nothing can be written, gates sends, records what follows."""
 
@@ -55,7 +64,7 @@
     ) -> None:
         self.folder, self.kinds, self.classes, self.plans = folder, kinds, classes, plans
         self.queue_most, self.keep, self.most, self.bodies = queue_most, keep, most, bodies
-        self.entered: dict[int, set[int]] = {}  # requests with an intent -> ordinals that are recorded
+        self.entered: dict[int, _Entered] = {}  # requests with an intent
         self.writer: Writer | None = None
 
     async def start(self, driver: ExtendedDriver) -> None:
@@ -95,15 +104,18 @@
             "host": attempt.server.decode("utf-8", "replace"),
             "born": self._born(attempt),
         }
-        if number not in self.entered:
+        entered = self.entered.get(number)
+        if entered is None:
             data |= self._terms(call)
-        event = Event(self.writer.life, number, Kind.INTENT, now_us(), data)
+        # A store that was opened anew has begun a new life; what belongs to an entry stays with it.
+        life = entered.life if entered else self.writer.life
+        event = Event(life, number, Kind.INTENT, now_us(), data)
 
         def done(good: bool) -> None:
             if not good:
                 self.driver.attempt_ended(attempt, api.Outcome.NEVER_SENT)
                 return
-            self.entered.setdefault(number, set()).add(ordinal)
+            self.entered.setdefault(number, _Entered(life)).ordinals.add(ordinal)
             # Its time may have been up, or its client gone, before it was written.
             if attempt.ended or call.finished:
                 self._follow(number, Kind.OUTCOME, ordinal=ordinal, outcome="never sent")
@@ -122,7 +134,7 @@
     def _whole(self, attempt: Attempt, wait: float) -> None:
         """Record when the last byte has left: at once as a rule, else where a connection has to be opened first."""
         if attempt.whole:
-            if attempt.number in self.entered.get(attempt.call.event.request, ()):
+            if self._recorded(attempt):
                 self._follow(attempt.call.event.request, Kind.WHOLE, ordinal=attempt.number)
         elif not attempt.ended:
             asyncio.get_running_loop().call_later(wait, self._whole, attempt, min(2 * wait, WHOLE_MOST))
@@ -146,7 +158,12 @@
         return terms | {"body": body.hex()} if self.bodies else terms
 
     def _follow(self, number: int, kind: Kind, **data) -> None:
-        self.writer.follow(Event(self.writer.life, number, kind, now_us(), data))
+        self.writer.follow(Event(self.entered[number].life, number, kind, now_us(), data))
+
+    def _recorded(self, attempt: Attempt) -> bool:
+        """Whether this attempt's intent is on the disk."""
+        entered = self.entered.get(attempt.call.event.request)
+        return entered is not None and attempt.number in entered.ordinals
 
     def _forget(self, call: Call, ending: Attempt | None = None) -> None:
         """An answered call is kept no longer than the last of its attempts is out."""
@@ -158,7 +175,7 @@
     def attempt_ended(self, attempt: Attempt, outcome: api.Outcome) -> None:
         """Recorded in a group: it delays nobody."""
         number = attempt.call.event.request
-        if attempt.number in self.entered.get(number, ()):
+        if self._recorded(attempt):
             never = not attempt.whole and outcome in (api.Outcome.TIMED_OUT, api.Outcome.CANCELLED)
             # What was given up before its last byte had left has not run: hosts begin at the last byte.
             said = "not connected" if never else outcome.value
--- a/tests/authz/test_stage.py
+++ b/tests/authz/test_stage.py
@@ -278,12 +278,15 @@
     away.stop()
     breaker = BreakerFigures(in_a_row=2, open_for=60_000 * MS)
     world = await open_(here, away, breaker=breaker, coalesce=False)
-    caller, answers = await world.caller(), []
+    caller = await world.caller()
+    endpoints = world.stage.asker.checks.endpoints
     for number in range(30):
+        # How fast a dead one fails is measured by chance: here it is always the one that seems faster.
+        endpoints[0].latency, endpoints[1].latency = 1e9, 1.0
         caller.call(wait=2000, number=b"n%d" % number)
-        answers = await caller.replied(number + 1)
-    assert answers[-10:] == [b"ok"] * 10
-    assert sum(answer != b"ok" for answer in answers) <= 2
+        await caller.replied(number + 1)
+    assert [reply == b"ok" for reply in caller.replies] == [False] * 2 + [True] * 28
+    assert len(here.asked) == 28
     assert world.stage.asker.checks.endpoints[1].breaker.state is State.OPEN
 
 
--- a/tests/ledger/test_store.py
+++ b/tests/ledger/test_store.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 
 import pytest
-from conftest import FakeHost, Rig, asyncio_test, error, until
+from conftest import FakeHost, Rig, asyncio_test, error, until, value
 
 from saffrongw.admin import cli
 from saffrongw.gateway.extended import ExtendedDriver
@@ -364,6 +364,25 @@
     assert (one.outcome, entry.answer, entry.meaning) == ("timed out", "failed", Meaning.MAY_HAVE_RUN)
 
 
+@asyncio_test
+async def test_what_belongs_to_an_entry_stays_with_it_when_the_store_is_opened_anew(tmp_path, monkeypatch):
+    """Else its answer would stand in the new life, as an entry of nobody's."""
+    monkeypatch.setattr(writing, "AGAIN", 0.05)
+    world = await World().open(tmp_path)
+    world.host.script = lambda command: None
+    caller = await world.rig.caller()
+    caller.call("bill", wait=20_000)
+    await until(lambda: world.host.commands)
+    world.ledger.writer._down(OSError("disk I/O error"))
+    await until(lambda: world.ledger.writer.life == 2)
+    world.host.connections[0].transport.write(value(b"done"))
+    assert await caller.replied() == [b"done"]
+    await until(lambda: not world.ledger.entered)
+    await world.ledger.stop()
+    (entry,) = Reader(tmp_path).entries().values()
+    assert (entry.life, entry.client_id, entry.meaning) == (1, "id1", Meaning.ANSWERED)
+
+
 @asyncio_test
 async def test_safe_requests_pay_nothing_and_write_nothing(tmp_path):
     world = await World().open(tmp_path)
