Overload: what a turn of the loop can't begin waits its turn, or is refused before the work

Requests are now begun as they are read only in the first 4 ms of a turn. What is certain to be refused in a turn is skimmed and not read. Commands of the usual form are read by one expression; a test compares it with the slow reading at every cut and 150 spoilt bytes a form.

--- /dev/null
+++ b/benchmarks/overload/ends.py
@@ -0,0 +1,224 @@
+"""The processes round the gateway: stand-in hosts, open-loop clients, a plain byte forwarder.
+
+``python -m benchmarks.overload.ends hosts|clients|forwarder JSON``; each prints one JSON line when it is ready or done,
+and ends with its parent or when its time is up.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import sys
+import time
+from collections import deque
+
+import hiredis
+import uvloop
+
+from .load import Due, Shape, Tally, arrivals
+
+ENDS_AFTER = 600.0  # seconds after which a process that was forgotten ends by itself
+TICK = 0.001  # seconds between two looks at what is due
+
+
+# -- hosts ----------------------------------------------------------------------------------------------------
+
+
+class HostSide(asyncio.Protocol):
+    """Answers each command after a fixed time, in order; a command is counted by its id."""
+
+    def __init__(self, host: Host) -> None:
+        self.host, self.reader = host, hiredis.Reader()
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self.reader.feed(data)
+        number = 0
+        while self.reader.gets() is not False:
+            number += 1
+        if number:
+            self.host.loop.call_later(self.host.delay(), self._answer, number)
+
+    def _answer(self, number: int) -> None:
+        if not self.transport.is_closing():
+            self.transport.write(self.host.reply * number)
+
+
+class Host:
+    """One stand-in host; ``slow`` is (from, until, ms) since its start: a spell with another delay."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, delay: float, slow: tuple[float, float, float]
+    ) -> None:
+        self.loop, self.usual, self.slow, self.began = loop, delay, slow, loop.time()
+        report = b"util=0.2,latency_ms=5,inflight=1"
+        self.reply = b"*3\r\n$2\r\nok\r\n$-1\r\n$%d\r\n%b\r\n" % (len(report), report)
+
+    def delay(self) -> float:
+        """Seconds that an answer takes now."""
+        at = self.loop.time() - self.began
+        return self.slow[2] / 1000 if self.slow[0] <= at < self.slow[1] else self.usual
+
+
+async def hosts(given: dict) -> None:
+    """So many hosts on ports of their own."""
+    loop = asyncio.get_running_loop()
+    ports = []
+    for _ in range(given["count"]):
+        host = Host(loop, given["delay_ms"] / 1000, tuple(given.get("slow", (0, 0, 0))))
+        server = await loop.create_server(lambda host=host: HostSide(host), "127.0.0.1", 0, backlog=1024)
+        ports.append(server.sockets[0].getsockname()[1])
+    print(json.dumps({"ports": ports}), flush=True)
+    await asyncio.sleep(ENDS_AFTER)
+
+
+# -- forwarder ------------------------------------------------------------------------------------------------
+
+
+class Pipe(asyncio.Protocol):
+    """One side of a forwarded connection."""
+
+    def __init__(self, other: Pipe | None = None, target: tuple[str, int] | None = None) -> None:
+        self.other, self.target, self.held = other, target, []
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+        if self.target:
+            loop = asyncio.get_running_loop()
+            self.task = loop.create_task(loop.create_connection(lambda: Pipe(self), *self.target))
+        else:
+            self.other.other = self
+            transport.writelines(self.other.held)
+
+    def data_received(self, data: bytes) -> None:
+        if self.other:
+            self.other.transport.write(data)
+        else:
+            self.held.append(data)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        if self.other and self.other.transport:
+            self.other.transport.close()
+
+
+async def forwarder(given: dict) -> None:
+    """Bytes from each client connection to a host connection of its own, and back."""
+    loop, turn = asyncio.get_running_loop(), 0
+
+    def pipe() -> Pipe:
+        nonlocal turn
+        turn += 1
+        return Pipe(target=("127.0.0.1", given["ports"][turn % len(given["ports"])]))
+
+    server = await loop.create_server(pipe, "127.0.0.1", 0, backlog=1024)
+    print(json.dumps({"port": server.sockets[0].getsockname()[1]}), flush=True)
+    await asyncio.sleep(ENDS_AFTER)
+
+
+# -- clients --------------------------------------------------------------------------------------------------
+
+
+class ClientSide(asyncio.Protocol):
+    """One pipelining connection: answers belong to what was asked, in order."""
+
+    def __init__(self, side: Clients) -> None:
+        self.side, self.reader = side, hiredis.Reader()
+        self.asked: deque[Due] = deque()
+        self.out: list[bytes] = []
+        self.writing = True
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+        transport.set_write_buffer_limits(high=0)
+
+    def pause_writing(self) -> None:
+        self.writing = False
+
+    def resume_writing(self) -> None:
+        self.writing = True
+
+    def data_received(self, data: bytes) -> None:
+        self.reader.feed(data)
+        now = time.monotonic()
+        while (reply := self.reader.gets()) is not False:
+            due = self.asked.popleft()
+            what = "served"
+            if isinstance(reply, hiredis.ReplyError):
+                what = "refused" if str(reply).startswith("BUSY") else "failed"
+            self.side.ended(due, what, now)
+
+
+class Clients:
+    """All connections of one process, and what came of their requests."""
+
+    def __init__(self, given: dict, dues: list[Due]) -> None:
+        self.given, self.dues, self.tally, self.open = given, dues, Tally(), 0
+        self.began = given["began"]
+
+    def ended(self, due: Due, what: str, now: float) -> None:
+        """An answer."""
+        self.open -= 1
+        self.tally.add(due, what, 1000 * (now - self.began - due.at), self.given["wait"])
+
+    async def run(self) -> None:
+        """Write what is due each tick until all is asked, then wait for answers a while."""
+        loop = asyncio.get_running_loop()
+        conns: list[ClientSide] = []
+        for _ in range(self.given["connections"]):
+            sock = socket.socket()
+            if self.given.get("sndbuf"):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self.given["sndbuf"])
+            sock.setblocking(False)
+            await loop.sock_connect(sock, ("127.0.0.1", self.given["port"]))
+            conns.append((await loop.create_connection(lambda: ClientSide(self), sock=sock))[1])
+        at, slip = 0, 0.0
+        while at < len(self.dues):
+            now = time.monotonic() - self.began
+            while at < len(self.dues) and self.dues[at].at <= now:
+                conn = conns[at % len(conns)]
+                if conn.writing and not conn.transport.is_closing():
+                    conn.out.append(self.dues[at].wire)
+                    conn.asked.append(self.dues[at])
+                    self.open += 1
+                else:  # the kernel takes no more: the gateway has not taken this one
+                    self.tally.add(self.dues[at], "held")
+                slip = max(slip, now - self.dues[at].at)
+                at += 1
+            for conn in conns:
+                if conn.out:
+                    conn.transport.write(b"".join(conn.out))
+                    conn.out.clear()
+            await asyncio.sleep(TICK)
+        end = time.monotonic() + self.given["after"]
+        while self.open and time.monotonic() < end:
+            await asyncio.sleep(0.01)
+        for conn in conns:
+            for due in conn.asked:
+                self.tally.add(due, "unanswered")
+            conn.transport.abort()
+        print(json.dumps(self.tally.plain() | {"slip_ms": 1000 * slip}), flush=True)
+
+
+async def clients(given: dict) -> None:
+    """Prepare, say so, wait for the time to begin, run."""
+    shape = Shape(
+        tuple(tuple(step) for step in given["steps"]), given["customers"], given["heavy"], given["wait"]
+    )
+    dues = arrivals(shape, given["part"], given["parts"], given["seed"])
+    print(json.dumps({"ready": len(dues)}), flush=True)
+    line = await asyncio.get_running_loop().run_in_executor(None, sys.stdin.readline)
+    await Clients(given | json.loads(line), dues).run()
+
+
+def main() -> None:
+    """One of the three."""
+    kind, given = sys.argv[1], json.loads(sys.argv[2])
+    uvloop.run({"hosts": hosts, "clients": clients, "forwarder": forwarder}[kind](given))
+
+
+if __name__ == "__main__":
+    main()
--- a/orchidlane/counts.py
+++ b/orchidlane/counts.py
@@ -69,6 +69,14 @@
         account.limit = min(limit, account.total + burst)
         account.closed = account.room < (REOPEN if account.closed else CLOSE) * burst
 
+    def beyond(self, now: int, customer: int, plan: int, units: float) -> bool:
+        """Whether a request would certainly be refused for its quota; nothing is counted or changed."""
+        account = self.accounts.get(customer)
+        if account is None or not (rate := self.s.plans[plan].rate):
+            return False
+        room = account.room + rate * (now - account.risen) / SECOND
+        return room < (REOPEN * self.s.plans[plan].burst if account.closed else units)
+
     def _share(self, account: Account) -> float:
         """The part of the quota that is ours to grant: what unheard gateways may spend is left to them."""
         unheard = 1.0 if self.alone else self.unheard
--- a/saffrongw/gateway/clients.py
+++ b/saffrongw/gateway/clients.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import re
 import socket
 from collections import deque
+from dataclasses import replace
 
-from orchidlane.interface import Effect
+from orchidlane.shedding import Waiting
 
 from .config import Config
 from .driver import Call, Driver, Terms
+from .intake import Intake
 from .resp import CommandReader, Malformed
+from .terms import Form, parse
 
 BACKLOG = 1024  # connections that the kernel holds until they are accepted
 ACCEPT_MOST = 16  # connections accepted in one turn of the loop: a flood of them must not hold up the rest
@@ -20,78 +22,46 @@
 IDLE_LEAST, IDLE_PART = 0.5, 0.25  # seconds after which it is, where more than this part of all are idle
 CLOSE_WITHIN = 1.0  # seconds for a client to read what is left for it before its connection is reset
 SWEEP = 0.25  # seconds between two looks at these limits
-WAITING_MOST = 32  # commands of one connection that wait for their answers; more are left unread
+WAITING_MOST = 128  # commands of one connection that wait for their answers; more are left unread
+REFUSED_MOST = (
+    64 * 1024
+)  # bytes of refusals that wait behind an answer while more is taken only to be refused
+MS = 1_000  # microseconds
 UNFINISHED_FOR = 1.0  # seconds that a client stuck within a command may hold up the end
-CUSTOMER_BITS = 33
-WAIT_MOST = 3_600_000  # ms
-MS = 1_000
-
-_CUSTOMER = re.compile(rb"[0-9a-f]{16}")
-_NUMBER = re.compile(rb"[0-9A-Za-z_-]{1,64}")
-_WAIT = re.compile(rb"[1-9][0-9]{0,6}")
-_UNITS = re.compile(rb"(0|[1-9][0-9]{0,8})(\.[0-9]{1,9})?")
-_GATEWAYS = re.compile(rb"0|[1-9][0-9]{0,4}")
-_KEY = re.compile(rb"[0-9A-Za-z_-]{1,64}")
-_TERMS = {b"c", b"t", b"d", b"units", b"spread", b"first"}
-
-
-def parse(command: list[bytes], config: Config) -> tuple[Terms, tuple[bytes, ...]]:
-    """A request's terms, and its parts as hosts get them: the terms are cut round the value of ``d``.
-
-    Hosts void what they can't use, so that only the exact forms pass: ``int()`` and ``float()`` take ``1_0``,
-    ``+1``, ``nan`` and blanks.
-    """
-    if len(command) != (4 if command[0] == b"CALL.GET" else 5):
-        raise Malformed("wrong number of values")
-    name, customer, number, text = command[:4]
-    if not _CUSTOMER.fullmatch(customer) or (key := int(customer, 16)) >> CUSTOMER_BITS:
-        raise Malformed("customer is not 16 hex digits below 2^33")
-    if not _NUMBER.fullmatch(number):
-        raise Malformed("the request's id is empty, too long or malformed")
-    pairs = [pair.split(b"=", 1) for pair in text.split(b",")]
-    try:
-        terms = dict(pairs)
-    except ValueError:
-        raise Malformed("terms are malformed") from None
-    if len(terms) != len(pairs):
-        raise Malformed("a term stands twice")
-    kind, plan = config.classes.get(terms.get(b"c")), config.plans.get(terms.get(b"t"))
-    if kind is None or plan is None:
-        raise Malformed("unknown class or plan")
-    effect, gateways = config.settings.classes[kind].effect, config.settings.gateways
-    if (name == b"CALL.GET") != (effect is Effect.SAFE):
-        raise Malformed("this class is served by the other command")
-    wanted = _TERMS | {b"k"} if effect is Effect.KEYED else _TERMS
-    repeat = terms.pop(b"r", None)
-    if terms.keys() != wanted or repeat not in (None, b"1"):
-        raise Malformed("a term is missing, or one too many")
-    if effect is Effect.KEYED and not _KEY.fullmatch(terms[b"k"]):
-        raise Malformed("term k is malformed")
-    wait, units, spread, first = (terms[term] for term in (b"d", b"units", b"spread", b"first"))
-    if not _WAIT.fullmatch(wait) or int(wait) > WAIT_MOST:
-        raise Malformed("term d is out of range")
-    if not _UNITS.fullmatch(units) or not 0 < float(units) <= config.units_most:
-        raise Malformed("term units is out of range")
-    if not _GATEWAYS.fullmatch(spread) or not _GATEWAYS.fullmatch(first):
-        raise Malformed("terms spread and first are malformed")
-    if not 1 <= int(spread) <= gateways or not int(first) < gateways:
-        raise Malformed("terms spread and first are out of range")
-    at = (b"," + text).index(b",d=") + 2
-    parts = (name, customer, number, text[:at], text[at + len(wait) :], *command[4:])
-    return Terms(
-        key, kind, plan, int(wait) * MS, float(units), int(spread), int(first), repeat is not None
-    ), parts
+
+
+def _group(parts: tuple[bytes, ...]) -> bytes:
+    """Class and plan as ``Form.skim`` gives them; empty where the terms stand in another order."""
+    words = parts[3].split(b",")
+    return words[0][2:] + b"," + words[1] if len(words) > 2 and words[0].startswith(b"c=") else b""
 
 
 class Slot:
     """The place of one command's answer on its connection."""
 
-    __slots__ = ("call", "client", "number", "reply")
+    __slots__ = ("call", "client", "number", "parts", "reply", "terms", "waiting")
 
     def __init__(self, client: Client, number: bytes | None = None) -> None:
         self.client, self.number = client, number
         self.reply: bytes | None = None
         self.call: Call | None = None
+        self.waiting: Waiting | None = None  # until it is begun
+
+    def begin(self) -> None:
+        """The request is handed on; the time that it waited is its client's."""
+        driver = self.client.clients.driver
+        terms = replace(self.terms, wait=max(MS, self.waiting.until - driver.clock()))
+        self.waiting = None
+        self.call = driver.arrived(terms, self.parts, self.answer)
+
+    def refuse(self, reply: bytes) -> None:
+        """It was shed: written with others of this turn, and never from within another connection's reading."""
+        self.reply, self.waiting = reply, None
+        client = self.client
+        client.clients.numbers.discard(self.number)
+        if not client.flushing:
+            client.flushing = True
+            client.clients.loop.call_soon(client.flush)
 
     def answer(self, reply: bytes) -> None:
         """The answer is known; it is written once those before it are."""
@@ -105,6 +75,7 @@
 
     def __init__(self, clients: Clients) -> None:
         self.clients = clients
+        self.flushing = False  # once this turn is over
         self.reader = CommandReader()
         self.slots: deque[Slot] = deque()
         self.closing = False  # close once all is answered
@@ -146,11 +117,7 @@
             return
         self.taking = True
         try:
-            while not self.closing and len(self.slots) < WAITING_MOST and len(self.reader):
-                if (command := self.reader.next()) is None:
-                    break
-                self.clients.heard(self)
-                self._command(command)
+            self._take_all()
         except Malformed as wrong:  # one that makes no sense ends its connection: the rest is not looked at
             self.end(str(wrong))
         self.taking = False
@@ -159,18 +126,70 @@
 
     def _command(self, command: list[bytes]) -> None:
         if command[0] in (b"CALL.GET", b"CALL.POST"):
-            terms, parts = parse(command, self.clients.config)
-            if parts[2] in self.clients.numbers:
-                raise Malformed("a request with this id is open")
-            slot = Slot(self, parts[2])
-            self.clients.numbers.add(parts[2])
-            self.slots.append(slot)
-            slot.call = self.clients.driver.arrived(terms, parts, slot.answer)
+            self._request(*parse(command, self.clients.config))
         elif len(command) == 1 and command[0].upper() == b"PING":
             self._reply(b"+PONG\r\n")
         else:
             raise Malformed("unknown command")
 
+    def _take_all(self) -> None:
+        clients, reader, slots = self.clients, self.reader, self.slots
+        form, shut, shed = clients.form, clients.intake.shut, 0
+        while not self.closing and len(reader) and (len(slots) < WAITING_MOST or self._may_refuse()):
+            # The cheapest refusal comes before the work: what is certain to be refused in this turn is not even read.
+            if (
+                shut
+                and (found := form.skim(reader.data, reader.at))
+                and (found[1] in shut or found[2] in shut)
+            ):
+                reader.at, shed = found[0], shed + 1
+                continue
+            if shed:
+                self._refuse(clients.intake.refusal, shed)
+                shed = 0
+            if (taken := form.read(reader.data, reader.at)) is not None:
+                reader.at, terms, parts = taken
+                self._request(terms, parts)
+            elif (command := reader.next()) is not None:
+                self._command(command)
+            else:
+                break
+        if shed:
+            self._refuse(clients.intake.refusal, shed)
+        clients.heard(self)
+
+    def _may_refuse(self) -> bool:
+        """Under pressure what is beyond the most that may wait is taken all the same, to be refused while it is new."""
+        return self.clients.intake.pressed and len(self.slots[-1].reply or b"") < REFUSED_MOST
+
+    def _request(self, terms: Terms, parts: tuple[bytes, ...]) -> None:
+        """Begin a request, or let it wait for its turn, or refuse it."""
+        clients = self.clients
+        if parts[2] in clients.numbers:
+            raise Malformed("a request with this id is open")
+        if clients.intake.at_once():
+            slot = Slot(self, parts[2])
+            clients.numbers.add(parts[2])
+            self.slots.append(slot)
+            slot.call = clients.driver.arrived(terms, parts, slot.answer)
+        elif len(self.slots) >= WAITING_MOST:
+            self._refuse(clients.intake.refusal, 1)
+        else:
+            slot = Slot(self, parts[2])
+            slot.terms, slot.parts = terms, parts
+            clients.numbers.add(parts[2])
+            self.slots.append(slot)
+            slot.waiting = clients.intake.wait(terms, _group(parts), parts[1], slot.begin, slot.refuse)
+
+    def _refuse(self, reply: bytes, times: int) -> None:
+        """So many refusals in a row share one place: a flood of them costs no objects."""
+        self.clients.intake.refused += times
+        reply *= times
+        if self.slots and (last := self.slots[-1]).reply is not None:
+            last.reply += reply
+        else:
+            self._reply(reply)
+
     def _reply(self, reply: bytes) -> None:
         slot = Slot(self)
         self.slots.append(slot)
@@ -184,8 +203,13 @@
 
     def flush(self) -> None:
         """Write the answers whose turn has come."""
-        while self.slots and self.slots[0].reply is not None:
-            self.transport.write(self.slots.popleft().reply)
+        self.flushing = False
+        slots = self.slots
+        if slots and slots[0].reply is not None:
+            replies = [slots.popleft().reply]
+            while slots and slots[0].reply is not None:
+                replies.append(slots.popleft().reply)
+            self.transport.write(b"".join(replies) if len(replies) > 1 else replies[0])
         if not self.taking:
             self._take()
 
@@ -202,8 +226,11 @@
         self.clients.lost(self)
         slots, self.slots = self.slots, deque()
         for slot in slots:
-            if slot.call:
+            if slot.reply is None:
                 self.clients.numbers.discard(slot.number)
+            if slot.waiting:
+                self.clients.intake.shedder.drop(slot.waiting)
+            elif slot.call:
                 self.clients.driver.client_gone(slot.call)
 
 
@@ -212,6 +239,7 @@
 
     def __init__(self, driver: Driver, config: Config, most: int) -> None:
         self.driver, self.config, self.most, self.loop = driver, config, most, driver.loop
+        self.form, self.intake = Form(config), Intake(driver, driver.loop)
         self.open: set[Client] = set()
         # Since when, the longest first: without a whole command, without a request, and closing.
         self.waiting: dict[Client, float] = {}
@@ -321,7 +349,7 @@
         self.loop.remove_reader(self.listener)
         self.listener.close()
         end = self.loop.time() + UNFINISHED_FOR
-        while self.driver.calls or (self.open and self.loop.time() < end):
+        while self.driver.calls or self.intake.pressed or (self.open and self.loop.time() < end):
             for client in list(self.open):
                 client.settle()
             await asyncio.sleep(0.01)
--- /dev/null
+++ b/saffrongw/gateway/terms.py
@@ -0,0 +1,143 @@
+"""A client's command as a request: the exact form, read in one step where it comes in the usual order."""
+
+from __future__ import annotations
+
+import re
+
+from orchidlane.interface import Effect
+
+from .config import Config
+from .driver import Terms
+from .resp import VALUE_MOST, Malformed
+
+CUSTOMER_BITS = 33
+WAIT_MOST = 3_600_000  # ms
+MS = 1_000
+
+_CUSTOMER = re.compile(rb"[0-9a-f]{16}")
+_NUMBER = re.compile(rb"[0-9A-Za-z_-]{1,64}")
+_WAIT = re.compile(rb"[1-9][0-9]{0,6}")
+_UNITS = re.compile(rb"(0|[1-9][0-9]{0,8})(\.[0-9]{1,9})?")
+_GATEWAYS = re.compile(rb"0|[1-9][0-9]{0,4}")
+_KEY = re.compile(rb"[0-9A-Za-z_-]{1,64}")
+_TERMS = {b"c", b"t", b"d", b"units", b"spread", b"first"}
+# The usual form, whole: customer, id, terms in their usual order, and the header of the body.
+_USUAL = re.compile(
+    rb"\*(?:4\r\n\$8\r\n(CALL\.GET)|5\r\n\$9\r\n(CALL\.POST))\r\n\$16\r\n(0{7}[01][0-9a-f]{8})\r\n"
+    rb"\$([1-9][0-9]?)\r\n([0-9A-Za-z_-]{1,64})\r\n"
+    rb"\$([1-9][0-9]{1,2})\r\n((c=([^,=\r\n]{1,64}),t=([^,=\r\n]{1,64}),d=)([1-9][0-9]{0,6})"
+    rb"((,k=[0-9A-Za-z_-]{1,64})?,units=((?:0|[1-9][0-9]{0,8})(?:\.[0-9]{1,9})?),spread=([1-9][0-9]{0,4}),"
+    rb"first=(0|[1-9][0-9]{0,4})(,r=1)?))\r\n(?:\$(0|[1-9][0-9]{0,4})\r\n)?"
+)
+# As much of it as it takes to refuse one: where it ends, who asks, class and plan.
+_SKIM = re.compile(
+    rb"\*(?:4\r\n\$8\r\nCALL\.GET|(5)\r\n\$9\r\nCALL\.POST)\r\n\$16\r\n(0{7}[01][0-9a-f]{8})\r\n"
+    rb"\$([1-9][0-9]?)\r\n([0-9A-Za-z_-]{1,64})\r\n"
+    rb"\$([1-9][0-9]{1,2})\r\n(c=([^,\r\n]{1,64},t=[^,\r\n]{1,64}),[^\r\n]{1,256})\r\n"
+    rb"(?:\$(0|[1-9][0-9]{0,4})\r\n)?"
+)
+
+Parsed = tuple[Terms, tuple[bytes, ...]]
+
+
+def parse(command: list[bytes], config: Config) -> Parsed:
+    """A request's terms, and its parts as hosts get them: the terms are cut round the value of ``d``.
+
+    Hosts void what they can't use, so that only the exact forms pass: ``int()`` and ``float()`` take ``1_0``,
+    ``+1``, ``nan`` and blanks.
+    """
+    if len(command) != (4 if command[0] == b"CALL.GET" else 5):
+        raise Malformed("wrong number of values")
+    name, customer, number, text = command[:4]
+    if not _CUSTOMER.fullmatch(customer) or (key := int(customer, 16)) >> CUSTOMER_BITS:
+        raise Malformed("customer is not 16 hex digits below 2^33")
+    if not _NUMBER.fullmatch(number):
+        raise Malformed("the request's id is empty, too long or malformed")
+    pairs = [pair.split(b"=", 1) for pair in text.split(b",")]
+    try:
+        terms = dict(pairs)
+    except ValueError:
+        raise Malformed("terms are malformed") from None
+    if len(terms) != len(pairs):
+        raise Malformed("a term stands twice")
+    kind, plan = config.classes.get(terms.get(b"c")), config.plans.get(terms.get(b"t"))
+    if kind is None or plan is None:
+        raise Malformed("unknown class or plan")
+    effect, gateways = config.settings.classes[kind].effect, config.settings.gateways
+    if (name == b"CALL.GET") != (effect is Effect.SAFE):
+        raise Malformed("this class is served by the other command")
+    wanted = _TERMS | {b"k"} if effect is Effect.KEYED else _TERMS
+    repeat = terms.pop(b"r", None)
+    if terms.keys() != wanted or repeat not in (None, b"1"):
+        raise Malformed("a term is missing, or one too many")
+    if effect is Effect.KEYED and not _KEY.fullmatch(terms[b"k"]):
+        raise Malformed("term k is malformed")
+    wait, units, spread, first = (terms[term] for term in (b"d", b"units", b"spread", b"first"))
+    if not _WAIT.fullmatch(wait) or int(wait) > WAIT_MOST:
+        raise Malformed("term d is out of range")
+    if not _UNITS.fullmatch(units) or not 0 < float(units) <= config.units_most:
+        raise Malformed("term units is out of range")
+    if not _GATEWAYS.fullmatch(spread) or not _GATEWAYS.fullmatch(first):
+        raise Malformed("terms spread and first are malformed")
+    if not 1 <= int(spread) <= gateways or not int(first) < gateways:
+        raise Malformed("terms spread and first are out of range")
+    at = (b"," + text).index(b",d=") + 2
+    parts = (name, customer, number, text[:at], text[at + len(wait) :], *command[4:])
+    return Terms(
+        key, kind, plan, int(wait) * MS, float(units), int(spread), int(first), repeat is not None
+    ), parts
+
+
+class Form:
+    """Reads requests in their usual form in one step; what is not of it is left to the framing and ``parse``."""
+
+    __slots__ = ("classes", "effects", "gateways", "plans", "units_most")
+
+    def __init__(self, config: Config) -> None:
+        self.classes, self.plans = config.classes, config.plans
+        self.effects = tuple(c.effect for c in config.settings.classes)
+        self.gateways, self.units_most = config.settings.gateways, config.units_most
+
+    @staticmethod
+    def skim(data: bytes, at: int) -> tuple[int, bytes, bytes] | None:
+        """Where the request at this place ends, its customer, and class and plan as ``CLASS,t=PLAN``."""
+        found = _SKIM.match(data, at)
+        if found is None:
+            return None
+        post, customer, id_size, number, size, text, group, body_size = found.groups()
+        if len(number) != int(id_size) or len(text) != int(size) or (post is None) != (body_size is None):
+            return None
+        if post is None:
+            return found.end(), customer, group
+        last = found.end() + int(body_size)
+        return (last + 2, customer, group) if data[last : last + 2] == b"\r\n" else None
+
+    def read(self, data: bytes, at: int) -> tuple[int, Terms, tuple[bytes, ...]] | None:
+        """Where the request at this place ends, its terms and parts; None: not whole, or not of the usual form."""
+        found = _USUAL.match(data, at)
+        if found is None:
+            return None
+        get, post, customer, id_size, number, size, text, *rest = found.groups()
+        before, kind_name, plan_name, wait, after, key, units, spread, first, repeat, body_size = rest
+        kind, plan = self.classes.get(kind_name), self.plans.get(plan_name)
+        if kind is None or plan is None or len(number) != int(id_size) or len(text) != int(size):
+            return None
+        effect = self.effects[kind]
+        if (post is None) != (effect is Effect.SAFE) or (key is None) != (effect is not Effect.KEYED):
+            return None
+        gateways, of, end = int(spread), int(first), found.end()
+        if (
+            gateways > self.gateways
+            or of >= self.gateways
+            or not 0 < (amount := float(units)) <= self.units_most
+        ):
+            return None
+        if (span := int(wait)) > WAIT_MOST or (post is None) != (body_size is None):
+            return None
+        terms = Terms(int(customer, 16), kind, plan, span * MS, amount, gateways, of, repeat is not None)
+        if post is None:
+            return end, terms, (get, customer, number, before, after)
+        last = end + int(body_size)
+        if last - end > VALUE_MOST or data[last : last + 2] != b"\r\n":
+            return None
+        return last + 2, terms, (post, customer, number, before, after, data[end:last])
--- /dev/null
+++ b/tests/gateway/test_intake.py
@@ -0,0 +1,184 @@
+"""More than the gateway can begin: what waits, what is refused, and that each gets one answer in its order."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import hiredis
+from conftest import FakeHost, Rig, asyncio_test, error, until
+
+from saffrongw.gateway import clients as clients_module
+from saffrongw.gateway.resp import Malformed
+from saffrongw.gateway.terms import Form, parse
+
+
+class Pressed(Rig):
+    """A gateway that never begins a request as it is read."""
+
+    def __init__(self, *hosts: FakeHost) -> None:
+        super().__init__(*hosts)
+        self.clients.intake.at_once = lambda: type(self.clients.intake).at_once(self.clients.intake) and False
+
+
+def command(number: bytes, kind=b"read", wait=2000, customer=7, more=b"", body=b"BODY") -> bytes:
+    terms = b"c=%b,t=team,d=%d%b,units=1,spread=2,first=0" % (kind, wait, more)
+    words = (b"%016x" % customer, number, terms)
+    if kind == b"read":
+        return hiredis.pack_command((b"CALL.GET", *words))
+    return hiredis.pack_command((b"CALL.POST", *words, body))
+
+
+@asyncio_test
+async def test_what_can_not_be_begun_as_it_is_read_waits_for_its_turn_and_is_served():
+    rig = Pressed(await FakeHost("a").listen())
+    caller = await rig.caller()
+    caller.transport.write(b"".join(command(b"n%d" % n, customer=n) for n in range(50)))
+    assert await caller.replied(50) == [b"ok"] * 50
+    assert not rig.clients.numbers and not rig.driver.calls and not rig.clients.intake.pressed
+
+
+@asyncio_test
+async def test_beyond_the_room_requests_are_refused_at_once_in_order_and_nothing_is_left():
+    host = await FakeHost("a").listen()
+    rig = Pressed(host)
+    callers = [await rig.caller() for _ in range(4)]
+    for place, caller in enumerate(callers):
+        caller.transport.write(b"".join(command(b"%d-%d" % (place, n), customer=n) for n in range(500)))
+    for caller in callers:
+        await caller.replied(500)
+    served = [reply for caller in callers for reply in caller.replies if reply == b"ok"]
+    refused = [r for caller in callers for r in caller.replies if r != b"ok"]
+    assert len(served) == len(host.commands) >= 64
+    assert refused and all(error(reply).startswith("BUSY ") for reply in refused)
+    assert len({bytes(c[2]) for c in host.commands}) == len(host.commands)
+    assert not rig.clients.numbers and not rig.driver.calls and not rig.clients.intake.pressed
+
+
+@asyncio_test
+async def test_a_refusal_behind_an_answer_that_is_owed_waits_for_it():
+    host = await FakeHost("a").listen()
+    host.script = lambda command: None
+    rig = Pressed(host)
+    first, flood = await rig.caller(), await rig.caller()
+    first.transport.write(command(b"held", wait=1500, customer=1))
+    await until(lambda: host.commands)
+    many = [command(b"f%d" % n, customer=n) for n in range(2000)]
+    flood.transport.write(b"".join(many))
+    first.transport.write(b"".join(command(b"g%d" % n, customer=1) for n in range(200)))
+    await until(lambda: len(first.replies) == 201, within=20)
+    assert error(first.replies[0]) == "ERR failed" or error(first.replies[0]).startswith("BUSY")
+    await until(lambda: len(flood.replies) == 2000, within=20)
+
+
+@asyncio_test
+async def test_a_client_that_leaves_while_its_requests_wait_leaves_nothing_behind():
+    rig = Pressed(await FakeHost("a").listen())
+    caller, other = await rig.caller(), await rig.caller()
+    rig.clients.intake.turning = True  # no turn comes: what is read waits
+    caller.transport.write(b"".join(command(b"n%d" % n, customer=n) for n in range(60)))
+    await until(lambda: rig.clients.intake.pressed)
+    caller.transport.abort()
+    await until(lambda: not rig.clients.intake.pressed)
+    rig.clients.intake.turning = False
+    other.transport.write(command(b"other", customer=99))
+    assert await other.replied() == [b"ok"]
+    await until(lambda: not rig.clients.numbers and not rig.driver.calls)
+    assert not rig.clients.intake.pressed and not rig.clients.intake.shedder.of
+
+
+@asyncio_test
+async def test_a_command_that_makes_no_sense_amid_a_flood_ends_its_connection_after_the_answers_owed(
+    monkeypatch,
+):
+    rig = Pressed(await FakeHost("a").listen())
+    caller = await rig.caller()
+    flood = [command(b"n%d" % n, customer=n) for n in range(300)]
+    caller.transport.write(b"".join(flood) + command(b"bad", kind=b"nonsense"))
+    await until(lambda: caller.closed)
+    assert len(caller.replies) == 301
+    assert error(caller.replies[-1]).startswith("ERR")
+
+
+@asyncio_test
+async def test_an_id_that_waits_already_is_refused_as_open():
+    rig = Pressed(await FakeHost("a").listen())
+    caller = await rig.caller()
+    caller.transport.write(command(b"same") * 2)
+    await until(lambda: caller.closed)
+    assert caller.replies[0] == b"ok"
+    assert "is open" in error(caller.replies[1])
+
+
+@asyncio_test
+async def test_a_drain_ends_only_when_what_waits_has_its_answer():
+    rig = Pressed(await FakeHost("a").listen())
+    caller = await rig.caller()
+    rig.clients.intake.turning = True  # no turn comes: what is read waits
+    caller.transport.write(b"".join(command(b"n%d" % n, customer=n) for n in range(40)))
+    await until(lambda: len(rig.clients.intake.shedder) == 40)
+    draining = rig.loop.create_task(rig.clients.drain(0.0))
+    done, _ = await asyncio.wait([draining], timeout=clients_module.UNFINISHED_FOR + 0.5)
+    assert not done
+    rig.clients.intake._turn()
+    await draining
+    await until(lambda: caller.closed)
+    assert len(caller.replies) == 40
+
+
+FORMS = [
+    command(b"id1"),
+    command(b"id1", more=b",k=key"),
+    command(b"id-2", b"put", more=b",k=key_7"),
+    command(b"id-2", b"put"),
+    command(b"id3", b"bill", body=b""),
+    command(b"id3", b"bill", body=b"\r\n$1\r\n" * 40),
+    command(b"id4", wait=0),
+    command(b"id4", wait=9_999_999),
+    command(b"id5", customer=1 << 33),
+    command(b"id5", customer=(1 << 33) - 1),
+    command(b"id6").replace(b"units=1", b"units=0"),
+    command(b"id6").replace(b"units=1", b"units=9"),
+    command(b"id6").replace(b"spread=2", b"spread=3"),
+    command(b"id6").replace(b"first=0", b"first=2"),
+    command(b"id7").replace(b"$3\r\nid7", b"$4\r\nid7"),
+    command(b"id8").replace(b"CALL.GET", b"CALL.PUT"),
+    command(b"id8").replace(b"t=team", b"t=none"),
+    hiredis.pack_command(
+        (b"CALL.GET", b"0" * 15 + b"7", b"id9", b"t=team,c=read,first=0,d=5,units=1.5,spread=1")
+    ),
+    hiredis.pack_command(
+        (b"CALL.GET", b"0" * 15 + b"7", b"id9", b"c=read,t=team,d=5,units=1,spread=1,first=0,r=1")
+    ),
+]
+
+
+@asyncio_test
+async def test_the_quick_form_and_the_skim_say_what_the_slow_one_says_or_nothing():
+    """Whole, cut at every byte, and with bytes changed: a quick reading is either the slow one's or none."""
+    rig, lots, quick = Rig(await FakeHost("a").listen()), random.Random(5), 0
+    form, config = Form(rig.config), rig.config
+    spoilt = []
+    for raw in FORMS:
+        spoilt += [raw[:n] for n in range(len(raw))]
+        for _ in range(150):
+            at = lots.randrange(len(raw))
+            spoilt.append(raw[:at] + bytes((lots.choice(b"0159$*\r\n,=ckx"),)) + raw[at + 1 :])
+    for raw in FORMS + spoilt:
+        reader = clients_module.CommandReader()
+        reader.feed(raw)
+        try:
+            words = reader.next()
+            slow = words and parse(words, config)
+        except Malformed:
+            slow = None
+        found, skimmed = form.read(raw, 0), form.skim(raw, 0)
+        if found is not None:
+            quick += 1
+            assert slow is not None and (reader.at, *slow) == found
+        if slow is not None and skimmed is not None:
+            group = b",t=".join(
+                (config.class_names[slow[0].kind].encode(), config.plan_names[slow[0].plan].encode())
+            )
+            assert skimmed == (reader.at, slow[1][1], group)
+    assert quick > 100
--- /dev/null
+++ b/tests/orchidlane/test_shedding.py
@@ -0,0 +1,165 @@
+"""Who is begun first and who is refused while requests wait."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+import pytest
+from conftest import PLAIN, SAFE, SECOND, T0, UNSAFE, Bench
+
+from orchidlane import interface as api
+from orchidlane.shedding import BACK_LEAST, FLOW_LEAST, MS, ROOM_LEAST, ROOM_MOST, Shedder, Waiting
+
+DEAR = dataclasses.replace(UNSAFE, worth=5.0)
+TWIN = dataclasses.replace(SAFE, effect=api.Effect.KEYED)  # of the same worth as SAFE
+AMPLE = dataclasses.replace(PLAIN, price=1.6)
+
+
+def shedder() -> Shedder:
+    return Shedder((SAFE, DEAR, TWIN), (PLAIN, AMPLE))
+
+
+def one(customer: int, plan=0, kind=0, until=T0 + 2 * SECOND, tag=None) -> Waiting:
+    return Waiting(customer, plan, kind, until, tag)
+
+
+def fill(s: Shedder, kind: int, now=T0, plan=0, first=1_000) -> None:
+    """So many that no more has room."""
+    for customer in range(first, first + s.room - len(s)):
+        assert s.offer(now, one(customer, plan, kind)) is None
+    assert len(s) == s.room
+
+
+def test_the_highest_worth_is_begun_first_and_equal_worths_by_turns_of_their_customers():
+    s = shedder()
+    for customer, kind in ((1, 0), (1, 0), (2, 2), (3, 1)):
+        s.offer(T0, one(customer, kind=kind))
+    assert [(w.customer, w.kind) for w in iter(lambda: s.take(T0), None)] == [(3, 1), (1, 0), (2, 2), (1, 0)]
+    assert (len(s), s.of, s.pressed_since) == (0, {}, 0)
+
+
+def test_where_there_is_no_room_the_lowest_worth_gives_way_and_never_the_higher():
+    s = shedder()
+    fill(s, kind=0)
+    late = one(1)
+    assert s.offer(T0, late) is late and late.gone
+    out = s.offer(T0, dear := one(2, kind=1))
+    assert out.kind == 0 and out.gone and not dear.gone
+    assert len(s) == s.room
+    assert s.take(T0) is dear
+
+
+def test_one_customer_with_nine_tenths_of_the_load_has_no_more_than_twice_the_part_of_others():
+    s, lots = shedder(), random.Random(7)
+    begun = {True: 0, False: 0}
+    asked = {True: 0, False: 0}
+    for step in range(3_000):
+        now = T0 + step * MS
+        for _ in range(10):
+            heavy = lots.random() < 0.9
+            asked[heavy] += 1
+            s.offer(now, one(1 if heavy else lots.randrange(2, 60), until=now + SECOND))
+        s.expired(now)
+        if w := s.take(now):
+            begun[w.customer == 1] += 1
+    assert begun[False] > 0.85 * asked[False]
+    assert s.of.get(1, 0) <= max(FLOW_LEAST, 2 * s.room / len(s.of) + 1)
+
+
+def test_a_cheap_plan_is_not_starved_by_a_dear_one():
+    s, lots, begun = shedder(), random.Random(3), [0, 0]
+    for step in range(4_000):
+        now = T0 + step * MS
+        for _ in range(4):
+            w = one(lots.randrange(500), lots.randrange(2), lots.randrange(3), until=now + SECOND)
+            s.offer(now, w)
+        s.expired(now)
+        if w := s.take(now):
+            begun[w.plan] += 1
+    assert begun[1] > begun[0] > 0.35 * begun[1]
+
+
+def test_what_has_waited_too_long_is_given_up_once_and_what_its_client_left_is_not_heard_of_again():
+    s = shedder()
+    s.offer(T0, stays := one(1))
+    s.offer(T0, leaves := one(2))
+    s.drop(leaves)
+    s.drop(leaves)
+    wait = s.most_wait[0]
+    assert s.expired(T0 + wait - 1) == []
+    assert s.expired(T0 + wait) == [stays]
+    assert s.expired(T0 + 2 * wait) == [] and s.take(T0) is None
+    s.offer(T0, soon := one(3, until=T0 + MS))
+    assert s.expired(T0 + MS) == [soon]
+
+
+def test_room_follows_the_rate_at_which_requests_are_begun_and_is_bounded():
+    s, now = shedder(), T0
+    assert s.room == ROOM_LEAST
+    for per_ms, least in ((3, 150), (200, ROOM_MOST)):
+        for _ in range(600):
+            now += MS
+            for customer in range(per_ms):
+                s.offer(now, one(customer + 10_000))
+            for _ in range(per_ms):
+                s.take(now)
+            s.offer(now, one(1))  # never empty
+        assert least <= s.room <= ROOM_MOST
+
+
+def test_those_refused_stay_away_longer_the_longer_it_lasts_within_the_settings():
+    s = shedder()
+    s.offer(T0, one(1))
+    assert s.back_in(T0, SECOND) == BACK_LEAST
+    assert s.back_in(T0 + SECOND, SECOND) == SECOND // 2
+    assert s.back_in(T0 + 60 * SECOND, SECOND) == SECOND
+    assert s.back_in(T0, 0) == 0  # the settings allow none
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_nothing_is_lost_doubled_or_kept_whatever_comes(seed):
+    """Each request ends exactly once, as begun, refused, expired or left; nothing of it stays."""
+    s, lots, open_, ended, now = shedder(), random.Random(seed), {}, {}, T0
+
+    def end(w: Waiting, how: str) -> None:
+        assert w.tag not in ended
+        ended[w.tag] = how
+        open_.pop(w.tag, None)
+
+    for number in range(6_000):
+        now += lots.choice((0, 0, 0, 300, 5 * MS))
+        customer, until = lots.choice((1, lots.randrange(300))), now + SECOND
+        w = one(customer, lots.randrange(2), lots.randrange(3), until, number)
+        open_[number] = w
+        if (out := s.offer(now, w)) is not None:
+            end(out, "refused")
+        if lots.random() < 0.3 and (w := s.take(now)):
+            end(w, "begun")
+        if lots.random() < 0.1:
+            for w in s.expired(now):
+                end(w, "expired")
+        if lots.random() < 0.05 and open_:
+            w = open_[lots.choice(list(open_))]
+            s.drop(w)
+            end(w, "left")
+        assert len(s) == len(open_) == sum(s.of.values()) <= ROOM_MOST
+    while w := s.take(now):
+        end(w, "begun")
+    assert len(ended) == 6_000 and not s.of
+    assert not any(s.ages) and not any(lane.flows for lanes in s.lanes for lane in lanes)
+    assert set(ended.values()) == {"begun", "refused", "expired", "left"}
+
+
+def test_who_is_certainly_beyond_quota_is_known_without_counting():
+    bench = Bench()
+    assert not bench.gateway.beyond(T0, 7, 0, 1.0)  # not met yet
+    bench.gateway._patience = lambda request: float("inf")  # none of these is answered
+    number = 1
+    while any(isinstance(action, api.Send) for action in bench.ask(number, size=1)):
+        number += 1
+    before = bench.gateway.accounts[7].total
+    assert bench.gateway.beyond(bench.now, 7, 0, 1.0)
+    assert bench.gateway.accounts[7].total == before
+    later = bench.now + 60 * SECOND
+    assert not bench.gateway.beyond(later, 7, 0, 1.0)
