--- a/orchidlane/counts.py
+++ b/orchidlane/counts.py
@@ -58,16 +58,17 @@
 
     def _lift(self, account: Account) -> None:
         """Raise the limit by the time gone; room stays within the burst."""
-        plan, span, account.risen = self.s.plans[account.plan], self.now - account.risen, self.now
-        part = self._ceiling_part(account)
-        gained = plan.ceiling_rate * part * span / SECOND
-        account.ceiling = min(plan.ceiling_burst * part, account.ceiling + gained)
-        share = self._share(account)
+        plan, span, account.risen = self.s.plans[account.key[0]], self.now - account.risen, self.now
+        if plan.ceiling_rate:
+            part = self._ceiling_part(account)
+            gained = plan.ceiling_rate * part * span / SECOND
+            account.ceiling = min(plan.ceiling_burst * part, account.ceiling + gained)
+        share, total = self._share(account), account.total
         burst = plan.burst * share
         # Debt: what went beyond the quota took nothing from the true store, so the limit never lies below.
-        limit = max(account.total, account.limit + plan.rate * share * span / SECOND)
-        account.limit = min(limit, account.total + burst)
-        account.closed = account.room < (REOPEN if account.closed else CLOSE) * burst
+        limit = max(total, account.limit + plan.rate * share * span / SECOND)
+        account.limit = limit = min(limit, total + burst)
+        account.closed = limit - total < (REOPEN if account.closed else CLOSE) * burst
 
     def beyond(self, now: int, customer: int, plan: int, units: float) -> bool:
         """Whether a request would certainly be refused for its quota; nothing is counted or changed."""
@@ -79,8 +80,8 @@
 
     def _share(self, account: Account) -> float:
         """The part of the quota that is ours to grant: what unheard gateways may spend is left to them."""
-        unheard = 1.0 if self.alone else self.unheard
-        return 1 - unheard * (account.size - 1) / account.size if unheard >= UNHEARD_LEAST else 1.0
+        unheard, size = 1.0 if self.alone else self.unheard, account.key[2]
+        return 1 - unheard * (size - 1) / size if unheard >= UNHEARD_LEAST else 1.0
 
     def _ceiling_part(self, account: Account) -> float:
         """Rule 5: each gateway alone fills its part of the ceiling's store, from nothing at its start. Half
@@ -284,15 +285,19 @@
         """Full and idle accounts say nothing: forgotten a few at a time, one-off customers cost no memory."""
         for _ in range(min(IDLE_LOOKS, len(self.idle_queue))):
             customer = self.idle_queue.popleft()
-            self._lift(account := self.accounts[customer])
-            plan = self.s.plans[account.plan]
+            account = self.accounts[customer]
+            plan, share = self.s.plans[account.key[0]], self._share(account)
+            gained = plan.rate * (self.now - account.risen) / SECOND
+            if account.out or account.limit - account.total + gained < plan.burst * share:
+                self.idle_queue.append(customer)  # most often: it is in use, or its quota not yet full
+                continue
+            self._lift(account)
             # Where no other gateway has told of it, its room here is not all that was spent: in the time that
             # fills a quota anew, what is forgotten can't grant more than the quota itself.
-            share = self._share(account)
             rest = plan.burst / plan.rate * SECOND if plan.rate and (account.fresh or share < 1) else 0.0
             rest = max(rest, KEEP_IDLE if plan.ceiling_rate else 0.0)
             full = account.room >= plan.burst * share and self.now - account.used >= rest
-            if account.out or not full:
+            if not full:
                 self.idle_queue.append(customer)
                 continue
             del self.accounts[customer]
--- a/orchidlane/interface.py
+++ b/orchidlane/interface.py
@@ -1,14 +1,15 @@
 """What a gateway is told (settings, events) and what it answers (actions).
 
 Times are integers in microseconds of the caller's clock. Servers are opaque, sortable bytes; requests and
-customers are integers. Nothing here decides anything: the decisions are in ``rules.py``.
+customers are integers. What comes with every request is a named tuple, as that is made fastest. Nothing here
+decides anything: the decisions are in ``rules.py``.
 """
 
 from __future__ import annotations
 
 import enum
 from dataclasses import dataclass
-from typing import ClassVar
+from typing import ClassVar, NamedTuple
 
 Server = bytes
 
@@ -150,11 +151,10 @@
     entries: tuple[ServerEntry, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class RequestArrived:
+class RequestArrived(NamedTuple):
     """A client's request; the set names the gateways that the customer may use."""
 
-    topic: ClassVar[str] = "request_arrived"
+    topic = "request_arrived"
 
     request: int
     customer: int
@@ -182,11 +182,10 @@
     set_size: int
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptEnded:
+class AttemptEnded(NamedTuple):
     """An attempt's outcome; answered means that the request needs no more answer."""
 
-    topic: ClassVar[str] = "attempt_ended"
+    topic = "attempt_ended"
 
     request: int
     attempt: int
@@ -220,11 +219,10 @@
     request: int
 
 
-@dataclass(frozen=True, slots=True)
-class TimerFired:
+class TimerFired(NamedTuple):
     """A timer that was set is up."""
 
-    topic: ClassVar[str] = "timer_fired"
+    topic = "timer_fired"
 
     token: int
 
@@ -277,8 +275,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class Send:
+class Send(NamedTuple):
     """Begin an attempt; give_up_at 0 leaves it to the client's patience."""
 
     request: int
@@ -294,8 +291,7 @@
     attempt: int
 
 
-@dataclass(frozen=True, slots=True)
-class Refuse:
+class Refuse(NamedTuple):
     """Final answer: not served, and trying again is harmless."""
 
     request: int
--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import math
+
 from . import interface as api
 from .counts import ASKED, INTERVAL, MS, PUSH, REOPEN, SECOND, TURN, Counts
 from .interface import Effect, Group, ListKind, Outcome, Phase
@@ -74,7 +76,7 @@
     def _advance(self, request: Request) -> None:
         """The next step of a request that is owed an answer."""
         last_call = request.until - LEAVE
-        if not any(attempt.ran for attempt in request.attempts):
+        if not request.attempts or not any(attempt.ran for attempt in request.attempts):
             last_call = min(last_call, request.until - int((1 - HELD_MOST) * request.event.time_left))
         if self.now >= last_call or len(request.attempts) >= self.s.max_attempts:
             return self._end(request)
@@ -120,13 +122,32 @@
         ran = [a for a in request.attempts if a.ran]
         pool = self.near(ran[0].host, request.cls.group) if ran else self.warm.hosts
         some = pool if len(pool) <= CHOICES else self.random.sample(pool, CHOICES)
-        usable = [host for host in some if self._is_warm(host) and self._may_send(request, host)]
-        return min(usable, key=lambda host: self._cost(request, host), default=None)
-
-    def _cost(self, request: Request, host: Host) -> float:
-        cost = self._expected(host, request.event.kind) * (1 + SPREAD * self.random.random())
-        cost *= 1 + FAIL_WEIGHT * self.zones_met[host.entry.zone].marks(self.now, FORGET)[1]
-        return cost * (1 + FAIL_WEIGHT * any(a.host is host for a in request.attempts))
+        if request.attempts:  # a first one finds all that are in the pool of warm servers usable
+            some = [host for host in some if self._is_warm(host) and self._may_send(request, host)]
+        return self._soonest(some, request.event.kind, [a.host for a in request.attempts])
+
+    def _soonest(self, hosts: list[Host], kind: int, tried: list[Host]) -> Host | None:
+        """The one with the least cost: what ``_expected`` says, with a random part, failures of its zone, and
+        a mark for having been tried. Written out in one loop, as it is most of what a request costs."""
+        now, lot, usual = self.now, self.random.random, self.usual[kind]
+        fleet, _ = self.met.marks(now, FORGET)
+        zones, best, least = {}, None, math.inf
+        for host in hosts:
+            fade = math.exp((host.seen - now) / FORGET)
+            cost = usual * (fleet + (host.slow - fleet) * fade) * (host.out + BASE) / host.typical
+            if host.fails:
+                cost *= 1 + FAIL_WEIGHT * host.fails * fade
+            if host.out and now - host.active > cost:
+                cost = now - host.active
+            if (zone := zones.get(host.entry.zone)) is None:
+                fails = self.zones_met[host.entry.zone].marks(now, FORGET)[1]
+                zone = zones[host.entry.zone] = 1 + FAIL_WEIGHT * fails
+            cost *= zone * (1 + SPREAD * lot())
+            if tried and host in tried:
+                cost *= 1 + FAIL_WEIGHT
+            if cost < least:
+                best, least = host, cost
+        return best
 
     def _may_send(self, request: Request, host: Host) -> bool:
         """Rules 2 and 3 for one send."""
@@ -231,8 +252,9 @@
     def _learn(self, attempt: Attempt, kind: int, event: api.AttemptEnded) -> None:
         """Each outcome tells of its server; a mark fades unless renewed, so that traffic returns gently."""
         host, zone = attempt.host, self.zones_met[attempt.host.entry.zone]
-        for known in (host, zone, self.met):
-            known.fade(self.now, FORGET)
+        host.fade(self.now, FORGET)
+        zone.fade(self.now, FORGET)
+        self.met.fade(self.now, FORGET)
         if event.outcome in (Outcome.SERVED, Outcome.ERROR, Outcome.FULL):
             host.active = self.now
         if event.outcome in (Outcome.SERVED, Outcome.TIMED_OUT):
--- a/orchidlane/state.py
+++ b/orchidlane/state.py
@@ -51,7 +51,7 @@
         return self.limit - self.total
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Known:
     """What requests met lately, at one server or at all."""
 
@@ -66,10 +66,12 @@
 
     def fade(self, now: int, fade_over: int) -> None:
         """Bring the marks up to now."""
-        (self.slow, self.fails), self.seen = self.marks(now, fade_over), now
+        if now != self.seen:
+            fade = math.exp((self.seen - now) / fade_over)
+            self.slow, self.fails, self.seen = 1 + (self.slow - 1) * fade, self.fails * fade, now
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Host(Known):
     """A server: what discovery says and what requests met."""
 
--- a/saffrongw/gateway/clients.py
+++ b/saffrongw/gateway/clients.py
@@ -5,7 +5,6 @@
 import asyncio
 import socket
 from collections import deque
-from dataclasses import replace
 
 from orchidlane.shedding import Waiting
 
@@ -50,7 +49,7 @@
     def begin(self) -> None:
         """The request is handed on; the time that it waited is its client's."""
         driver = self.client.clients.driver
-        terms = replace(self.terms, wait=max(MS, self.waiting.until - driver.clock()))
+        terms = self.terms._replace(wait=max(MS, self.waiting.until - driver.clock()))
         self.waiting = None
         self.call = driver.arrived(terms, self.parts, self.answer)
 
--- a/saffrongw/gateway/driver.py
+++ b/saffrongw/gateway/driver.py
@@ -11,7 +11,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import ClassVar, Protocol
+from typing import ClassVar, NamedTuple, Protocol
 
 from orchidlane import interface as api
 from orchidlane.rules import Gateway
@@ -32,8 +32,7 @@
     return b"-BUSY %d\r\n" % wait if wait else b"-BUSY\r\n"
 
 
-@dataclass(frozen=True, slots=True)
-class Terms:
+class Terms(NamedTuple):
     """What a client's command says of its request; wait in microseconds."""
 
     customer: int
@@ -286,11 +285,12 @@
 
     def _close(self, call: Call) -> None:
         call.finished = True
-        if all(attempt.ended for attempt in call.attempts):
-            call.guard.cancel()
-            self.calls.pop(call.event.request, None)
-        else:  # a Cancel of what is still out may follow: kept for the length of one turn of the loop
-            self.loop.call_soon(self.calls.pop, call.event.request, None)
+        for attempt in call.attempts:
+            if not attempt.ended:  # a Cancel of what is still out may follow: kept for one turn of the loop
+                self.loop.call_soon(self.calls.pop, call.event.request, None)
+                return
+        call.guard.cancel()
+        self.calls.pop(call.event.request, None)
 
     def _timed_out(self, attempt: Attempt) -> None:
         """Nothing came in time. What never left whole has certainly not run."""
--- a/saffrongw/gateway/extended.py
+++ b/saffrongw/gateway/extended.py
@@ -170,7 +170,7 @@
         rest = max(0, call.until - self.clock())
         spent = call.event.time_left - rest
         left = max(MS, min(rest, terms.wait - ON_THE_WAY - spent))
-        call.event = replace(call.event, plan=terms.plan, time_left=left)
+        call.event = call.event._replace(plan=terms.plan, time_left=left)
         until = self.clock() + left
         if until < call.until:  # a stage shortened the wait
             call.until = until
--- a/saffrongw/gateway/hosts.py
+++ b/saffrongw/gateway/hosts.py
@@ -28,6 +28,7 @@
 REST_WITHIN = 0.5  # seconds for the rest of an answer that has begun
 CLOSING_MOST = 24  # connections closed in this turn of the loop whose descriptors are not free yet
 LINES = {b"-ERR failed": api.Outcome.ERROR, b"-BUSY": api.Outcome.FULL}
+REPORTS_MOST = 256  # texts of reports whose figures are kept
 MS = 1_000
 
 _FIGURE = rb"[a-z0-9_]{1,32}=[0-9]{1,12}(\.[0-9]{1,9})?"
@@ -254,6 +255,7 @@
         connect_timeout: float,
     ) -> None:
         self.driver, self.loop = driver, driver.loop
+        self.reports: dict[bytes | None, tuple[float, ...]] = {}  # texts that came lately
         self.report_names = tuple(name.encode() for name in report_names)
         self.most, self.connect_timeout = sockets, connect_timeout
         self.keep_idle = IDLE_PART * idle_close
@@ -298,7 +300,7 @@
     def meaning(self, answer: Answer) -> tuple[api.Outcome, bytes | None, tuple[float, ...]]:
         """A host's answer as outcome, value and report: only the exact forms mean something."""
         if (line := answer.line) is None:
-            value, report = answer.value, parse_report(answer.report, self.report_names)
+            value, report = answer.value, self._report(answer.report)
             return api.Outcome.SERVED, b"$%d\r\n%b\r\n" % (len(value), value), report
         for known, outcome in LINES.items():
             if line == known:
@@ -309,6 +311,16 @@
                 break
         raise Malformed("an unknown line")
 
+    def _report(self, text: bytes | None) -> tuple[float, ...]:
+        """A report's figures. Hosts refresh theirs a few times a second and send it with every answer till then."""
+        known = self.reports.get(text)
+        if known is None:
+            known = parse_report(text, self.report_names)
+            if len(self.reports) >= REPORTS_MOST:
+                self.reports.clear()
+            self.reports[text] = known
+        return known
+
     def spoilt(self, attempt: Attempt, why: str) -> None:
         """An answer that can't be believed: the attempt has failed and may have run, its host answers."""
         log.warning("spoilt answer of %s: %s", attempt.server.decode(errors="replace"), why)
--- a/saffrongw/gateway/plug.py
+++ b/saffrongw/gateway/plug.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any, Protocol
 
@@ -149,4 +149,4 @@
         raise StageError(f"no plan has the number {changes['plan']}")
     if not MS <= changes.get("wait", terms.wait) <= max(terms.wait, MS):
         raise StageError("wait can only become shorter, down to 1 ms")
-    return replace(terms, **changes)
+    return terms._replace(**changes)
--- a/saffrongw/gateway/resp.py
+++ b/saffrongw/gateway/resp.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass
+from typing import NamedTuple
 
 VALUE_MOST = 64 * 1024  # bytes in one value
 WORD_MOST = 1024  # bytes in any other part of a command or an answer
@@ -19,6 +19,8 @@
 _LENGTH_OR_NULL = re.compile(rb"\$(-1|0|[1-9][0-9]{0,4})\r\n")
 _COUNT_BEGUN = re.compile(rb"(\*([1-9]\r?)?)?")
 _LENGTH_BEGUN = re.compile(rb"(\$((-|-1|0|[1-9][0-9]{0,4})\r?)?)?")
+_SERVED = re.compile(rb"\*3\r\n\$(0|[1-9][0-9]{0,4})\r\n")
+_REST = re.compile(rb"\r\n\$-1\r\n\$([1-9][0-9]{0,3})\r\n([a-z0-9_=.,]{1,1000})\r\n")
 _HEADER_MOST = 10  # bytes of the longest header that these take
 
 
@@ -89,8 +91,7 @@
         return words
 
 
-@dataclass(frozen=True, slots=True)
-class Answer:
+class Answer(NamedTuple):
     """What a host answered: a line, or a value with the figures on use and the load report."""
 
     line: bytes | None = None
@@ -103,8 +104,23 @@
 
     __slots__ = ()
 
+    def _usual(self) -> Answer | None:
+        """A served answer in its usual form (a value, no figures on use, a report) in two steps; else None."""
+        data = self.data
+        head = _SERVED.match(data, self.at)
+        if head is None or (length := int(head[1])) > VALUE_MOST:
+            return None
+        end = head.end() + length
+        rest = _REST.match(data, end)
+        if rest is None or len(rest[2]) != int(rest[1]):
+            return None
+        self.at = rest.end()
+        return Answer(None, data[head.end() : end], rest[2])
+
     def next(self) -> Answer | None:
         """The next answer, if it is whole."""
+        if (usual := self._usual()) is not None:
+            return usual
         kind = self.data[self.at : self.at + 1]
         if kind in (b"-", b"+"):
             end = self.data.find(b"\r\n", self.at, self.at + LINE_MOST)
--- a/tests/authz/test_attributes.py
+++ b/tests/authz/test_attributes.py
@@ -167,7 +167,7 @@
     from dataclasses import replace
 
     base = key_of(REQUEST)
-    same = replace(REQUEST, number=2, client_id=b"other", until=9, terms=replace(TERMS, wait=5))
+    same = replace(REQUEST, number=2, client_id=b"other", until=9, terms=TERMS._replace(wait=5))
     assert key_of(same) == base
     for name, value in (
         ("customer", 8),
@@ -177,6 +177,6 @@
         ("spread", 1),
         ("first", 0),
     ):
-        assert key_of(replace(REQUEST, terms=replace(TERMS, **{name: value}))) != base
-    assert key_of(replace(REQUEST, terms=replace(TERMS, is_repeat=False))) != base
+        assert key_of(replace(REQUEST, terms=TERMS._replace(**{name: value}))) != base
+    assert key_of(replace(REQUEST, terms=TERMS._replace(is_repeat=False))) != base
     assert key_of(replace(REQUEST, body_bytes=13)) != base
