Intake: no request waits for ever behind a fault, texts of terms are read once, fewer cycles

A request that raised where it was begun would have left those behind it waiting until another came: the turn is asked for again in any case, and a test plants the fault. Measured and not taken: the loop's own time as the mark of a turn; each timer that is set moves it on within the turn, and a flood stalled the gateway (found by tests/faults/test_flood.py).

--- a/saffrongw/gateway/clients.py
+++ b/saffrongw/gateway/clients.py
@@ -64,7 +64,7 @@
 
     def answer(self, reply: bytes) -> None:
         """The answer is known; it is written once those before it are."""
-        self.reply = reply
+        self.reply, self.call = reply, None  # else they would hold each other until the collector comes by
         self.client.clients.numbers.discard(self.number)
         self.client.flush()
 
--- a/saffrongw/gateway/driver.py
+++ b/saffrongw/gateway/driver.py
@@ -178,6 +178,8 @@
                 report,
             )
         )
+        if call.finished and call.event.request not in self.calls:
+            call.attempts.clear()  # attempts and call would hold each other until the collector comes by
 
     def listed(self, listed: HostList, cached: bool = False) -> None:
         """Discovery told something."""
--- a/saffrongw/gateway/intake.py
+++ b/saffrongw/gateway/intake.py
@@ -30,10 +30,10 @@
         settings = driver.gateway.s
         self.shedder = Shedder(settings.classes, settings.plans)
         self.most_back = settings.max_retry_after
-        self.turning = False
+        self.turning = False  # within a turn of the loop, whose end has been asked for
         self.began = 0.0
         self.refused = 0
-        self.refusal = busy(0)  # what is shed in this turn is answered
+        self.refusal = self._answer(0)  # what is shed in this turn is answered
         # Until the next turn: customers (16 digits) and groups (``CLASS,t=PLAN``) that are certain to be refused.
         self.shut: set[bytes] = set()
 
@@ -41,6 +41,7 @@
         """Whether one more request may be begun now."""
         now = monotonic()
         if not self.turning:
+            # Not by ``loop.time()``: each timer that is set moves it on within the turn.
             self.turning, self.began = True, now
             self.loop.call_soon(self._turn)
         return now - self.began < AT_ONCE and not self.shedder.count
@@ -72,9 +73,12 @@
     def _refusal(self, now: int) -> bytes:
         """Of what is shed: nothing was sent, so that trying again is harmless."""
         self.refused += 1
-        self.refusal = busy(self.shedder.back_in(now, self.most_back))
+        self.refusal = self._answer(now)
         return self.refusal
 
+    def _answer(self, now: int) -> bytes:
+        return busy(self.shedder.back_in(now, self.most_back))
+
     def _turn(self) -> None:
         """All that came in this turn has been read: begin what waits, for a while."""
         self.turning = False
@@ -85,13 +89,15 @@
         # Those longest here are given up only after a turn that they had a part in: a process that was stopped for a
         # while would else refuse all that came meanwhile.
         end = monotonic() + WORK
-        while (one := shedder.take(self.driver.clock())) is not None:
-            one.tag[0]()
-            if monotonic() >= end:
-                break
-        now = self.driver.clock()
-        for one in shedder.expired(now):
-            one.tag[1](self._refusal(now))
-        if shedder.count:
-            self.turning, self.began = True, monotonic()
-            self.loop.call_soon(self._turn)
+        try:
+            while (one := shedder.take(self.driver.clock())) is not None:
+                one.tag[0]()
+                if monotonic() >= end:
+                    break
+            now = self.driver.clock()
+            for one in shedder.expired(now):
+                one.tag[1](self._refusal(now))
+        finally:  # also where one of them raised: the others must not wait for ever
+            if shedder.count:
+                self.turning, self.began = True, monotonic()
+                self.loop.call_soon(self._turn)
--- a/saffrongw/gateway/terms.py
+++ b/saffrongw/gateway/terms.py
@@ -25,10 +25,15 @@
 _USUAL = re.compile(
     rb"\*(?:4\r\n\$8\r\n(CALL\.GET)|5\r\n\$9\r\n(CALL\.POST))\r\n\$16\r\n(0{7}[01][0-9a-f]{8})\r\n"
     rb"\$([1-9][0-9]?)\r\n([0-9A-Za-z_-]{1,64})\r\n"
-    rb"\$([1-9][0-9]{1,2})\r\n((c=([^,=\r\n]{1,64}),t=([^,=\r\n]{1,64}),d=)([1-9][0-9]{0,6})"
-    rb"((,k=[0-9A-Za-z_-]{1,64})?,units=((?:0|[1-9][0-9]{0,8})(?:\.[0-9]{1,9})?),spread=([1-9][0-9]{0,4}),"
-    rb"first=(0|[1-9][0-9]{0,4})(,r=1)?))\r\n(?:\$(0|[1-9][0-9]{0,4})\r\n)?"
+    rb"\$([1-9][0-9]{1,2})\r\n((c=[^,=\r\n]{1,64},t=[^,=\r\n]{1,64},d=)([1-9][0-9]{0,6})"
+    rb"((,k=[0-9A-Za-z_-]{1,64})?,(units=[0-9.]{1,19},spread=[0-9]{1,5},first=[0-9]{1,5}(?:,r=1)?)))\r\n"
+    rb"(?:\$(0|[1-9][0-9]{0,4})\r\n)?"
+)
+_GROUP = re.compile(rb"c=([^,=]+),t=([^,=]+),d=")
+_AMOUNTS = re.compile(
+    rb"units=((?:0|[1-9][0-9]{0,8})(?:\.[0-9]{1,9})?),spread=([1-9][0-9]{0,4}),first=(0|[1-9][0-9]{0,4})(,r=1)?"
 )
+KNOWN_MOST = 4_096  # texts whose meaning is kept
 # As much of it as it takes to refuse one: where it ends, who asks, class and plan.
 _SKIM = re.compile(
     rb"\*(?:4\r\n\$8\r\nCALL\.GET|(5)\r\n\$9\r\nCALL\.POST)\r\n\$16\r\n(0{7}[01][0-9a-f]{8})\r\n"
@@ -91,12 +96,38 @@
 class Form:
     """Reads requests in their usual form in one step; what is not of it is left to the framing and ``parse``."""
 
-    __slots__ = ("classes", "effects", "gateways", "plans", "units_most")
+    __slots__ = ("amounts", "classes", "effects", "gateways", "groups", "plans", "units_most")
 
     def __init__(self, config: Config) -> None:
         self.classes, self.plans = config.classes, config.plans
         self.effects = tuple(c.effect for c in config.settings.classes)
         self.gateways, self.units_most = config.settings.gateways, config.units_most
+        # Texts that come again and again, by their meaning.
+        self.groups: dict[bytes, tuple[int, int, Effect]] = {}  # only those that the settings name
+        self.amounts: dict[bytes, tuple[float, int, int, bool]] = {}
+
+    def _group(self, text: bytes) -> tuple[int, int, Effect] | None:
+        """``c=CLASS,t=PLAN,d=`` as numbers of class and plan, and the class's effect."""
+        if (known := self.groups.get(text)) is None:
+            kind_name, plan_name = _GROUP.fullmatch(text).groups()
+            kind, plan = self.classes.get(kind_name), self.plans.get(plan_name)
+            if kind is None or plan is None:
+                return None
+            known = self.groups[text] = kind, plan, self.effects[kind]
+        return known
+
+    def _amounts(self, text: bytes) -> tuple[float, int, int, bool] | None:
+        """``units=...,spread=...,first=...`` as units, size and first gateway of the set, and whether it is a retry."""
+        if (known := self.amounts.get(text)) is None:
+            if (found := _AMOUNTS.fullmatch(text)) is None:
+                return None
+            units, spread, first = float(found[1]), int(found[2]), int(found[3])
+            if not 0 < units <= self.units_most or spread > self.gateways or first >= self.gateways:
+                return None
+            if len(self.amounts) >= KNOWN_MOST:
+                self.amounts.clear()
+            known = self.amounts[text] = units, spread, first, found[4] is not None
+        return known
 
     @staticmethod
     def skim(data: bytes, at: int) -> tuple[int, bytes, bytes] | None:
@@ -117,24 +148,20 @@
         found = _USUAL.match(data, at)
         if found is None:
             return None
-        get, post, customer, id_size, number, size, text, *rest = found.groups()
-        before, kind_name, plan_name, wait, after, key, units, spread, first, repeat, body_size = rest
-        kind, plan = self.classes.get(kind_name), self.plans.get(plan_name)
-        if kind is None or plan is None or len(number) != int(id_size) or len(text) != int(size):
+        get, post, customer, id_size, number, size, text, before, wait, after, key, amounts, body_size = (
+            found.groups()
+        )
+        if len(number) != int(id_size) or len(text) != int(size) or (post is None) != (body_size is None):
             return None
-        effect = self.effects[kind]
-        if (post is None) != (effect is Effect.SAFE) or (key is None) != (effect is not Effect.KEYED):
+        if (group := self._group(before)) is None or (given := self._amounts(amounts)) is None:
             return None
-        gateways, of, end = int(spread), int(first), found.end()
-        if (
-            gateways > self.gateways
-            or of >= self.gateways
-            or not 0 < (amount := float(units)) <= self.units_most
-        ):
+        kind, plan, effect = group
+        if (post is None) != (effect is Effect.SAFE) or (key is None) != (effect is not Effect.KEYED):
             return None
-        if (span := int(wait)) > WAIT_MOST or (post is None) != (body_size is None):
+        if (span := int(wait)) > WAIT_MOST:
             return None
-        terms = Terms(int(customer, 16), kind, plan, span * MS, amount, gateways, of, repeat is not None)
+        end = found.end()
+        terms = Terms(int(customer, 16), kind, plan, span * MS, *given)
         if post is None:
             return end, terms, (get, customer, number, before, after)
         last = end + int(body_size)
--- a/tests/gateway/test_intake.py
+++ b/tests/gateway/test_intake.py
@@ -17,7 +17,7 @@
     """A gateway that never begins a request as it is read."""
 
     def __init__(self, *hosts: FakeHost) -> None:
-        super().__init__(*hosts)
+        super().__init__(*hosts, sockets=900)  # enough for all that may be begun at once
         self.clients.intake.at_once = lambda: type(self.clients.intake).at_once(self.clients.intake) and False
 
 
@@ -100,6 +100,26 @@
     assert error(caller.replies[-1]).startswith("ERR")
 
 
+@asyncio_test
+async def test_a_fault_in_beginning_one_request_does_not_leave_the_others_waiting():
+    rig = Pressed(await FakeHost("a").listen())
+    plain, faults = rig.driver.arrived, []
+
+    def arrived(terms, parts, answer):
+        if parts[2] == b"n3":
+            faults.append(parts)
+            raise RuntimeError("planted")
+        return plain(terms, parts, answer)
+
+    rig.driver.arrived = arrived
+    asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+    caller, other = await rig.caller(), await rig.caller()
+    caller.transport.write(b"".join(command(b"n%d" % n, customer=n) for n in range(4)))
+    other.transport.write(b"".join(command(b"o%d" % n, customer=10 + n) for n in range(20)))
+    assert await other.replied(20) == [b"ok"] * 20
+    assert faults and not rig.clients.intake.pressed
+
+
 @asyncio_test
 async def test_an_id_that_waits_already_is_refused_as_open():
     rig = Pressed(await FakeHost("a").listen())
