--- a/standin/processes.py
+++ b/standin/processes.py
@@ -57,7 +57,7 @@
     raise OSError("no free port was found")
 
 
-def _die_with_parent() -> None:
+def die_with_parent() -> None:
     """Guards the machine: a gateway ends when the stand-ins do, however they end."""
     _libc.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
 
@@ -108,7 +108,7 @@
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                preexec_fn=_die_with_parent,
+                preexec_fn=die_with_parent,
             )
         process = self.process
         self.follower = asyncio.get_running_loop().create_task(self._follow(process))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -20,7 +20,7 @@
 from saffrongw.gateway.clients import Clients
 from saffrongw.gateway.driver import Driver
 from saffrongw.gateway.hosts import Hosts
-from standin.processes import free_port
+from standin.processes import die_with_parent, free_port
 
 SECOND = 1_000_000
 T0 = 1_000 * SECOND  # a clock time well after any start
@@ -331,7 +331,11 @@
     known = {"seq": 1, "whole": True, "hosts": [host.line(host=name) for name in "abcdef"]}
     file, port = configured(folder, **({"known": known} | changes))
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "saffrongw", env=os.environ | {"LB_CONFIG": str(file)}
+        sys.executable,
+        "-m",
+        "saffrongw",
+        env=os.environ | {"LB_CONFIG": str(file)},
+        preexec_fn=die_with_parent,  # a test that fails before it ends the program leaves none behind
     )
     loop = asyncio.get_running_loop()
 
