--- a/tests/ledger/test_store.py
+++ b/tests/ledger/test_store.py
@@ -448,8 +448,8 @@
     await until(lambda: world.ledger.writer.written >= 3)
     replies = 1
     for number in range(400):
-        # As small as it can be: no page can be added. Set each time, as a record that follows may be what fails, and the
-        # store is then opened anew without it.
+        # As small as it can be: no page can be added. Set each time, as a record that follows may be what fails:
+        # the store is then opened anew without it.
         with contextlib.suppress(sqlite3.Error, AttributeError):
             world.ledger.writer.store.db.execute("PRAGMA max_page_count=1")
         ask(caller, number + 100)
