Operators' address: health, figures, hosts out and back by hand, drain by call

- ExclusionChanged, a typed hint by source: the decision module keeps the host out of every pool whatever the list says.
Put back it counts as just started unless the list names a start since, and is sent one request at once.
- Quiesce: PING says no, connections close as they fall idle, what comes is served.

--- a/orchidlane/interface.py
+++ b/orchidlane/interface.py
@@ -261,6 +261,23 @@
     took: int
 
 
+@dataclass(frozen=True, slots=True)
+class ExclusionChanged:
+    """A typed hint: a source (an operator's call, say) keeps a server out of choice, or no longer does.
+
+    It stands whatever discovery says, until the same source takes it back. A server put back counts as
+    launched at that moment, unless discovery names a launch since ``since``, when it was excluded (us; 0: as
+    of now).
+    """
+
+    topic: ClassVar[str] = "exclusion_changed"
+
+    server: Server
+    source: str
+    excluded: bool
+    since: int = 0
+
+
 Event = (
     ServerListed
     | RequestArrived
@@ -272,6 +289,7 @@
     | ProbeEnded
     | PeerMessage
     | CounterAnswered
+    | ExclusionChanged
 )
 
 
--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -22,6 +22,7 @@
 SLOW_MOST = 8.0  # times the idle answer time that one answer may count for
 FAIL_WEIGHT = 3.0  # an attempt that failed makes a server look this much slower
 FAULT = 0.1  # of that for one that was answered or broken: any server may now and then spoil one answer
+AVOIDED = 2.0  # faded failures in a row from which a server counts as avoided: it looks seven times slower
 CHOICES = 12  # servers compared for one request
 SPREAD = 0.1  # random part of a comparison, against herding of gateways
 COLD_CARE = 0.9  # of the fair share of a cold server's least capacity that is used
@@ -152,7 +153,7 @@
 
     def _may_send(self, request: Request, host: Host) -> bool:
         """Rules 2 and 3 for one send."""
-        if host.entry.phase is not Phase.READY:
+        if host.entry.phase is not Phase.READY or host.entry.server in self.excluded:
             return False
         ran = [a for a in request.attempts if a.ran]
         cls = request.cls
@@ -169,6 +170,8 @@
         """Rule 4: each attempt draws one of all servers; a cold one serves as often as it can."""
         while self.warming and self._is_warm(self.warming[0]):
             self.warm_first()
+        if self.untried and (back := self._put_back(request)):
+            return back
         cold = self.cold.hosts
         number, chance = divmod(request.lot * (len(cold) + len(self.warm.hosts)), 1)
         if number >= len(cold):
@@ -178,8 +181,19 @@
         ramp = self.s.cold_from + (1 - self.s.cold_from) * age
         return host if chance < COLD_CARE * ramp and self._may_send(request, host) else None
 
+    def _put_back(self, request: Request) -> Host | None:
+        """Who was taken out by hand and put back is sent one request soon: the lot alone may take seconds."""
+        for server in list(self.untried):
+            host = self.hosts.get(server)
+            if host is None or host.entry.phase is not Phase.READY:
+                del self.untried[server]
+            elif self._may_send(request, host):
+                return host
+        return None
+
     def _send(self, request: Request, host: Host) -> None:
         """Every send passes here."""
+        self.untried.pop(host.entry.server, None)
         if not request.attempts:
             self._spend(request.account, request.event.units)
         if not host.out:
@@ -241,6 +255,21 @@
             (self.warm if self._is_warm(host) else self.cold).add(host)
             self.warming.append(host)
 
+    def _exclusion_changed(self, event: api.ExclusionChanged) -> None:
+        """Rule 3 by hand: nothing new to a server that an operator takes out; back, it is cold (rule 4)."""
+        if back := self.exclude(event, self.now, self.s.warm_within):
+            (self.warm if self._is_warm(back) else self.cold).add(back)
+            self.warming.append(back)
+
+    def avoided(self, now: int) -> int:
+        """How many of the listed servers are out of choice now: by hand, by discovery, or as they fail."""
+        return sum(
+            server in self.excluded
+            or host.entry.phase is not Phase.READY
+            or host.marks(now, FORGET)[1] >= AVOIDED
+            for server, host in self.hosts.items()
+        )
+
     def _expected(self, host: Host, kind: int, failed: bool = True) -> float:
         """The expected answer time: what requests met there, how the load changed, how long it is quiet."""
         fleet, _ = self.met.marks(self.now, FORGET)
--- a/orchidlane/state.py
+++ b/orchidlane/state.py
@@ -162,6 +162,11 @@
         self.cells: dict[int, Pool] = {}
         self.zones: dict[int, Pool] = {}
         self.warming: deque[Host] = deque()  # servers in the order of their listing, until they are warm
+        self.excluded: dict[api.Server, dict[str, int]] = {}  # source -> since when
+        self.returned: dict[
+            api.Server, tuple[int, int]
+        ] = {}  # excluded from / until: taken to start at its end
+        self.untried: dict[api.Server, None] = {}  # put back and not sent to since
         self.requests: dict[int, Request] = {}
         self.attempts: dict[tuple[int, int], tuple[Attempt, Request]] = {}
         self.actions: list[api.Action] = []
@@ -198,6 +203,8 @@
                 entry.launched > now
             ):  # guards against a start to come, which would keep the server cold for good
                 entry = replace(entry, launched=now)
+            if (span := self.returned.get(entry.server)) and entry.launched < span[0]:
+                entry = replace(entry, launched=span[1])  # the list is late: it was restarted meanwhile
             anew = host is None or entry.launched > host.entry.launched
             was_ready = host is not None and host.entry.phase is api.Phase.READY
             if host is not None and (anew or entry.phase is not api.Phase.READY):
@@ -206,15 +213,53 @@
                 host = self.hosts[entry.server] = Host(now, entry=entry)
             host.entry = entry
             self.zones_met.setdefault(entry.zone, Known(0))
+            if entry.server in self.excluded:
+                continue
             if entry.phase is api.Phase.READY and (anew or not was_ready):
                 self.cells.setdefault(entry.cell, Pool()).add(host)
                 self.zones.setdefault(entry.zone, Pool()).add(host)
                 fresh.append(host)
         return fresh
 
+    def exclude(self, event: api.ExclusionChanged, now: int, remember: int) -> Host | None:
+        """Take a server out for a source, or no longer; the server, where that puts it back.
+
+        ``remember`` (us): for how long a server put back is taken to have started then, for want of news.
+        """
+        for server in [s for s, span in self.returned.items() if now - span[1] >= remember]:
+            del self.returned[server]
+        host, sources = self.hosts.get(event.server), self.excluded.get(event.server)
+        if event.excluded:
+            if sources is None:
+                self.excluded[event.server] = {event.source: event.since or now}
+                self.untried.pop(event.server, None)
+                if host:
+                    self._take_out(host)
+            else:
+                sources.setdefault(event.source, event.since or now)
+            return None
+        if sources is None or event.source not in sources:
+            return None
+        since = sources.pop(event.source)
+        if sources:
+            return None
+        del self.excluded[event.server]
+        self.returned[event.server] = since, now
+        if host is None or host.entry.phase is not api.Phase.READY:
+            return None
+        self.warming = deque(other for other in self.warming if other is not host)
+        launched = host.entry.launched if host.entry.launched >= since else now
+        entry = replace(host.entry, launched=launched)
+        back = self.hosts[event.server] = Host(now, entry=entry)
+        self.cells.setdefault(entry.cell, Pool()).add(back)
+        self.zones.setdefault(entry.zone, Pool()).add(back)
+        self.untried[event.server] = None
+        return back
+
     def _forget(self, host: Host) -> None:
         """A server that is gone: what is still out at it keeps its record until it ends."""
         self._take_out(host)
+        self.untried.pop(host.entry.server, None)
         host.entry = replace(host.entry, phase=api.Phase.GONE)
         del self.hosts[host.entry.server]
         self.warming = deque(other for other in self.warming if other is not host)
@@ -222,7 +267,8 @@
     def warm_first(self) -> None:
         """The server that was listed first joins the warm ones, if it still runs."""
         host = self.warming.popleft()
-        if self.hosts.get(host.entry.server) is host and host.entry.phase is api.Phase.READY:
+        known = self.hosts.get(host.entry.server) is host and host.entry.server not in self.excluded
+        if known and host.entry.phase is api.Phase.READY:
             self.cold.remove(host.entry.server)
             self.warm.add(host)
 
--- a/saffrongw/gateway/clients.py
+++ b/saffrongw/gateway/clients.py
@@ -11,11 +11,11 @@
 from .config import Config
 from .driver import Call, Driver, Terms
 from .intake import Intake
+from .listeners import Acceptor
 from .resp import CommandReader, Malformed
 from .terms import Form, parse
 
 BACKLOG = 1024  # connections that the kernel holds until they are accepted
-ACCEPT_MOST = 16  # connections accepted in one turn of the loop: a flood of them must not hold up the rest
 COMMAND_WITHIN = 2.0  # seconds for a whole command, from connecting or from its first byte
 IDLE_MOST = 10.0  # seconds after which a connection without a request is closed, even if there is room
 IDLE_LEAST, IDLE_PART = 0.5, 0.25  # seconds after which it is, where more than this part of all are idle
@@ -57,6 +57,7 @@
         """It was shed: written with others of this turn, and never from within another connection's reading."""
         self.reply, self.waiting = reply, None
         client = self.client
+        client.clients.driver.figures.busy[self.terms.kind] += 1
         client.clients.numbers.discard(self.number)
         if not client.flushing:
             client.flushing = True
@@ -127,7 +128,7 @@
         if command[0] in (b"CALL.GET", b"CALL.POST"):
             self._request(*parse(command, self.clients.config))
         elif len(command) == 1 and command[0].upper() == b"PING":
-            self._reply(b"+PONG\r\n")
+            self._reply(b"-ERR draining\r\n" if self.clients.draining else b"+PONG\r\n")
         else:
             raise Malformed("unknown command")
 
@@ -142,6 +143,7 @@
                 and (found[1] in shut or found[2] in shut)
             ):
                 reader.at, shed = found[0], shed + 1
+                clients.count_shed(found[2])
                 continue
             if shed:
                 self._refuse(clients.intake.refusal, shed)
@@ -172,6 +174,7 @@
             self.slots.append(slot)
             slot.call = clients.driver.arrived(terms, parts, slot.answer)
         elif len(self.slots) >= WAITING_MOST:
+            clients.driver.figures.busy[terms.kind] += 1
             self._refuse(clients.intake.refusal, 1)
         else:
             slot = Slot(self, parts[2])
@@ -244,40 +247,30 @@
         self.idle: dict[Client, float] = {}
         self.ending: dict[Client, float] = {}
         self.numbers: set[bytes] = set()  # ids of open requests
-        self.accepted: dict[Client, asyncio.Task] = {}  # until they are open
         self.draining = False
-        self.listener: socket.socket | None = None
+        self.acceptor: Acceptor | None = None
 
     async def listen(self) -> None:
-        """Serve from now on. Accepting is done here: the loop's own would take all that have come at once,
-        past the limit on descriptors."""
-        self.listener = socket.create_server(self.config.listen, backlog=BACKLOG)
-        self.listener.setblocking(False)
-        self.loop.add_reader(self.listener, self._accept)
+        """Serve from now on; a new version of the program may listen beside this one."""
+        listener = socket.create_server(self.config.listen, backlog=BACKLOG, reuse_port=True)
+        self.acceptor = Acceptor(self.loop, listener, self._make_room, lambda: Client(self))
+        self.acceptor.start()
         self._sweep()
 
-    def _accept(self) -> None:
-        for _ in range(ACCEPT_MOST):
-            try:
-                sock, _ = self.listener.accept()
-            except OSError:  # none is left, or it has gone again
-                return
-            if not self._make_room():
-                sock.close()
-                continue
-            client = Client(self)
-            self.accepted[client] = self.loop.create_task(self._connect(client, sock))
+    def count_shed(self, group: bytes) -> None:
+        """One more refused before it was read; ``CLASS,t=PLAN``."""
+        kind = self.config.classes.get(group.partition(b",")[0])
+        if kind is not None:
+            self.driver.figures.busy[kind] += 1
 
-    async def _connect(self, client: Client, sock: socket.socket) -> None:
-        try:
-            await self.loop.connect_accepted_socket(lambda: client, sock)
-        except OSError:
-            sock.close()
-            self.accepted.pop(client, None)
+    @property
+    def inflight(self) -> int:
+        """Requests taken and not yet answered."""
+        return len(self.numbers)
 
     def _make_room(self) -> bool:
         """Beyond the limit one that has sent nothing whole makes room, or the one that is idle longest."""
-        if len(self.open) + len(self.accepted) < self.most:
+        if len(self.open) + self.acceptor.opening < self.most:
             return True
         victim = next(iter(self.waiting), None) or next(iter(self.idle), None)
         if victim is None:
@@ -288,7 +281,7 @@
 
     def opened(self, client: Client) -> None:
         """One more."""
-        self.accepted.pop(client, None)
+        self.acceptor.opened(client)
         self.open.add(client)
         self.waiting[client] = self.loop.time()
 
@@ -338,14 +331,21 @@
                 client.transport.abort()
         self.loop.call_later(SWEEP, self._sweep)
 
-    async def drain(self, accept_for: float) -> None:
-        """Close connections as they fall idle, go on accepting for a while, then finish what is held."""
+    def quiesce(self) -> None:
+        """Answer ``PING`` with no, and close each connection once it has nothing open; what comes is still served."""
         self.draining = True
         for client in list(self.open):
             client.settle()
+
+    def resume(self) -> None:
+        """Take clients again."""
+        self.draining = False
+
+    async def drain(self, accept_for: float) -> None:
+        """Close connections as they fall idle, go on accepting for a while, then finish what is held."""
+        self.quiesce()
         await asyncio.sleep(accept_for)
-        self.loop.remove_reader(self.listener)
-        self.listener.close()
+        self.acceptor.close()
         end = self.loop.time() + UNFINISHED_FOR
         while self.driver.calls or self.intake.pressed or (self.open and self.loop.time() < end):
             for client in list(self.open):
--- a/saffrongw/gateway/config.py
+++ b/saffrongw/gateway/config.py
@@ -39,6 +39,7 @@
 
     listen: Address
     discovery: Address
+    admin: Address | None  # where operators call
     seed: int
     sockets: int
     peer_listen: Address | None
@@ -107,6 +108,7 @@
     return Config(
         listen=address(raw["listen"]),
         discovery=address(raw["discovery"]),
+        admin=address(raw["admin"]) if raw.get("admin") else None,
         seed=int(raw["seed"], 16),
         sockets=int(raw["limits"]["sockets"]),
         peer_listen=address(raw["peer_listen"]) if peers and raw.get("peer_listen") else None,
--- a/saffrongw/gateway/driver.py
+++ b/saffrongw/gateway/driver.py
@@ -17,6 +17,7 @@
 from orchidlane.rules import Gateway
 
 from .config import HostList
+from .figures import Figures
 
 log = logging.getLogger(__name__)
 
@@ -85,6 +86,9 @@
     def told(self, listed: HostList) -> list[Attempt]:
         """Discovery's list has changed; the attempts that can't begin any more."""
 
+    def rest_at(self, server: api.Server) -> None:
+        """A host is taken out by hand: connections to it that carry nothing are closed."""
+
 
 class Clock:
     """Unix time in microseconds, read once and then advanced by the monotonic clock: it never jumps."""
@@ -102,6 +106,7 @@
     def __init__(self, settings: api.Settings, seed: int, loop: asyncio.AbstractEventLoop) -> None:
         self.loop, self.clock = loop, Clock()
         self.gateway = Gateway(settings, seed, self.clock())
+        self.figures = Figures(len(settings.classes))
         self.hosts: Hosts | None = None
         self.tell_peer: Callable[[int, bytes], None] = lambda rank, body: None
         self.calls: dict[int, Call] = {}
@@ -283,6 +288,7 @@
         """Every final answer passes here, once for each call."""
         if not call.finished:
             self._close(call)
+            self.figures.answered(call.event.kind, reply)
             call.answer(reply)
 
     def _close(self, call: Call) -> None:
--- a/saffrongw/gateway/extended.py
+++ b/saffrongw/gateway/extended.py
@@ -52,6 +52,10 @@
         """Discovery's list has changed; the attempts that can't begin any more."""
         return self.inner.told(listed)
 
+    def rest_at(self, server: api.Server) -> None:
+        """A host is taken out by hand: connections to it that carry nothing are closed."""
+        self.inner.rest_at(server)
+
 
 class _ToldHosts(WrappedHosts):
     """Observers are told of each attempt before it is sent."""
--- a/saffrongw/gateway/hosts.py
+++ b/saffrongw/gateway/hosts.py
@@ -81,14 +81,16 @@
         self.attempt, attempt.link = attempt, self
         self.transport.write(pack_request(attempt, now))
         attempt.whole = not self.transport.get_write_buffer_size() and not self.transport.is_closing()
+        self.pool.hosts.driver.figures.attempts += attempt.whole
 
     def pause_writing(self) -> None:
         """The socket takes no more for now."""
 
     def resume_writing(self) -> None:
         """The socket has taken all that was written."""
-        if self.attempt:
+        if self.attempt and not self.attempt.whole:
             self.attempt.whole = True
+            self.pool.hosts.driver.figures.attempts += 1
 
     def data_received(self, data: bytes) -> None:
         """The answer, or a part of it."""
@@ -283,6 +285,11 @@
                 self.pools[entry.server].close_idle(float("inf"))
         return stranded
 
+    def rest_at(self, server: api.Server) -> None:
+        """An operator takes a host out: connections that carry nothing are closed, it will be restarted."""
+        if pool := self.pools.get(server):
+            pool.close_idle(float("inf"))
+
     def send(self, attempt: Attempt) -> None:
         """Begin an attempt."""
         if pool := self.pools.get(attempt.server):
--- a/saffrongw/gateway/process.py
+++ b/saffrongw/gateway/process.py
@@ -17,10 +17,13 @@
 from orchidlane.wire import WireError
 
 from .clients import Clients
-from .config import Config, parse
+from .config import Config, address, parse
 from .discovery import Watch
 from .driver import Driver
+from .figures import Figures
 from .hosts import Hosts
+from .operations import Operations
+from .operators import OperatorCalls
 from .peers import Peers
 from .plug import Plugs
 
@@ -59,13 +62,22 @@
         return self.lines <= LOG_MOST
 
 
-def reload(path: Path, config: Config, watch: Watch) -> Config:
+def read(path: Path) -> Config:
+    """The configuration's file; LB_ADMIN names the operators' address where the file doesn't."""
+    config = parse(path.read_text())
+    told = os.environ.get("LB_ADMIN")
+    return replace(config, admin=address(told)) if told and config.admin is None else config
+
+
+def reload(path: Path, config: Config, watch: Watch, figures: Figures) -> Config:
     """SIGHUP: read the file again. A wrong one is logged and the old one stays; only the watch can move."""
     try:
-        new = parse(path.read_text())
+        new = read(path)
     except UNUSABLE as wrong:
         log.warning("reload: no usable configuration, the old one stays: %.200r", wrong)
+        figures.reloads_failed += 1
         return config
+    figures.reloads += 1
     if replace(new, discovery=config.discovery, known=config.known, seed=config.seed) != config:
         log.warning("reload: only another address of discovery takes effect before a restart")
     watch.move(new.discovery)
@@ -105,17 +117,23 @@
 
     def hang_up() -> None:
         nonlocal config
-        config = reload(path, config, watch)
+        config = reload(path, config, watch, driver.figures)
         if plugs and plugs.again:
             plugs.again()
 
     loop.add_signal_handler(signal.SIGHUP, hang_up)
     clients = Clients(driver, config, client_sockets)
+    operations = Operations(driver, clients, config)
+    calls = OperatorCalls(loop, operations)
+    if config.admin:
+        calls.listen(config.admin)
     await clients.listen()
+    operations.serving = True
     gc.collect()
     gc.freeze()  # what is loaded by now stays: it need not be looked through again
     await stop.wait()
     await clients.drain(ACCEPT_FOR)
+    calls.close()
     for service in plugs.services if plugs else ():
         await service.stop()
 
@@ -132,7 +150,7 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the watch runs there is nothing to move
     try:
         file = Path(path if path is not None else os.environ["LB_CONFIG"])
-        config = parse(file.read_text())
+        config = read(file)
     except UNUSABLE as wrong:
         print(f"saffrongw: no usable configuration: {wrong!r}", file=sys.stderr)
         return 1
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -314,9 +314,9 @@
 
     async def caller(self) -> Caller:
         """A client's connection to it."""
-        if self.clients.listener is None:
+        if self.clients.acceptor is None:
             await self.clients.listen()
-        port = self.clients.listener.getsockname()[1]
+        port = self.clients.acceptor.listener.getsockname()[1]
         _, caller = await self.loop.create_connection(Caller, "127.0.0.1", port)
         return caller
 
