A new version takes over in service: listener, peers' socket, counts and connections

Its successor gets the listener and the peers' socket as descriptors, the list, and what is out by hand; it waits and says that it can serve. On SIGTERM the old one hands over its counts (orchidlane/handover.py, pure), says go, and gives away each client's and host's connection as it falls idle, with what it had read of the next command. First sends are decided by one of the two at a time. Without such a process both listen by SO_REUSEPORT.

--- /dev/null
+++ b/orchidlane/handover.py
@@ -0,0 +1,184 @@
+"""What one process of a gateway tells its successor, as plain rows: counts, exclusions, what was learnt of hosts.
+
+Pure. A row is a list that JSON holds: its kind, then its values; server ids are text. Both processes read one
+clock and are one gateway to all others (the same rank, the same starts of counts), so that the successor goes on
+with the counts and grants nobody a fresh allowance. Only one of the two decides first sends at a time: after
+``export`` the old one refuses what it has not sent (``Gateway.handed_over``): what it spent nobody would know.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from . import interface as api
+from .rules import Gateway
+from .state import Account, Known
+
+VERSION = 1
+Row = list
+
+
+class OddRow(ValueError):
+    """A row that no process of this version writes."""
+
+
+def _text(server: api.Server) -> str:
+    return server.decode("latin-1")
+
+
+def _server(text: str) -> api.Server:
+    return text.encode("latin-1")
+
+
+def export(gateway: Gateway, now: int) -> Iterator[Row]:
+    """All rows. From the first on nothing new may be begun by this gateway."""
+    gateway.handed_over = True
+    yield ["learnt", gateway.usual, gateway.learnt, gateway.budget, gateway.unheard]
+    yield ["heard", [[rank, at] for rank, at in gateway.heard.items()]]
+    yield ["met", *_marks(gateway.met)]
+    for zone, known in gateway.zones_met.items():
+        yield ["zone", zone, *_marks(known)]
+    yield from exclusions(gateway)
+    for server, host in gateway.hosts.items():
+        if host.seen:
+            yield ["host", _text(server), *_marks(host), host.typical]
+    for account in gateway.accounts.values():
+        yield [
+            "account",
+            account.customer,
+            list(account.key),
+            account.limit,
+            account.risen,
+            [[rank, start, value] for rank, (start, value) in account.counts.items()],
+            account.spent,
+            account.total,
+            list(account.news),
+            account.fresh,
+            account.out,
+            list(account.others),
+            account.ceiling,
+            account.used,
+            account.closed,
+            account.customer in gateway.changed,
+        ]
+
+
+def exclusions(gateway: Gateway) -> Iterator[Row]:
+    """What is out by hand, and what was put back lately."""
+    for server, sources in gateway.excluded.items():
+        yield ["excluded", _text(server), sources]
+    for server, (since, until) in gateway.returned.items():
+        yield ["returned", _text(server), since, until]
+
+
+def _marks(known: Known) -> tuple[int, float, float]:
+    return known.seen, known.slow, known.fails
+
+
+def adopt(gateway: Gateway, now: int, row: Row) -> None:
+    """Take over one row; ``OddRow`` where it makes no sense. Nothing that is known better is overwritten."""
+    try:
+        method = _ADOPT[row[0]]
+        method(gateway, now, *row[1:])
+    except (LookupError, TypeError, ValueError, AttributeError, ArithmeticError) as wrong:
+        raise OddRow(f"{str(row)[:80]}: {wrong!r}") from None
+
+
+def _learnt(gateway: Gateway, now: int, usual: list, learnt: list, budget: float, unheard: float) -> None:
+    if len(usual) == len(learnt) == len(gateway.usual):
+        gateway.usual = [float(span) for span in usual]
+        gateway.learnt = [int(times) for times in learnt]
+    gateway.budget, gateway.unheard = float(budget), float(unheard)
+
+
+def _heard(gateway: Gateway, now: int, heard: list) -> None:
+    for rank, at in heard:
+        gateway.heard[int(rank)] = max(int(at), gateway.heard.get(rank, 0))
+
+
+def _known(known: Known, seen: int, slow: float, fails: float) -> None:
+    if seen > known.seen:
+        known.seen, known.slow, known.fails = int(seen), float(slow), float(fails)
+
+
+def _met(gateway: Gateway, now: int, *marks) -> None:
+    _known(gateway.met, *marks)
+
+
+def _zone(gateway: Gateway, now: int, zone: int, *marks) -> None:
+    _known(gateway.zones_met.setdefault(int(zone), Known(0)), *marks)
+
+
+def _excluded(gateway: Gateway, now: int, server: str, sources: dict) -> None:
+    for source, since in sources.items():
+        gateway.handle(now, api.ExclusionChanged(_server(server), str(source), True, int(since)))
+
+
+def _returned(gateway: Gateway, now: int, server: str, since: int, until: int) -> None:
+    """It is taken to have started when it was put back, as the old process takes it."""
+    name = _server(server)
+    if name in gateway.excluded:
+        return
+    gateway.returned[name] = int(since), int(until)
+    host = gateway.hosts.get(name)
+    if host and host.entry.launched < since:
+        entry = host.entry
+        gone = api.ServerEntry(name, api.Phase.GONE, entry.zone, entry.cell, entry.launched, entry.size)
+        for line in (gone, entry):  # listed anew, it gets its launch and its pool by the ordinary way
+            gateway.handle(now, api.ServerListed(api.ListKind.CHANGES, 0, (line,)))
+
+
+def _host(
+    gateway: Gateway, now: int, server: str, seen: int, slow: float, fails: float, typical: float
+) -> None:
+    if host := gateway.hosts.get(_server(server)):
+        _known(host, seen, slow, fails)
+        host.typical = float(typical)
+
+
+def _account(
+    gateway: Gateway,
+    now: int,
+    customer: int,
+    key: list,
+    limit: float,
+    risen: int,
+    counts: list,
+    spent: float,
+    total: float,
+    news: list,
+    fresh: bool,
+    out: int,
+    others: list,
+    ceiling: float,
+    used: int,
+    closed: bool,
+    changed: bool,
+) -> None:
+    plan, first, size = (int(part) for part in key)
+    if customer in gateway.accounts or not 0 <= plan < len(gateway.s.plans):
+        return
+    if not 0 <= first < gateway.s.gateways or not 1 <= size <= gateway.s.gateways:
+        raise ValueError("the set is out of range")
+    account = Account(int(customer), (plan, first, size), float(limit), int(risen), used=int(used))
+    account.counts = {int(rank): (int(start), float(value)) for rank, start, value in counts}
+    account.spent, account.total, account.ceiling = float(spent), float(total), float(ceiling)
+    account.news, account.fresh, account.closed = tuple(int(rank) for rank in news), bool(fresh), bool(closed)
+    # What is out at the old process is taken to be out for as long as usual, like what others approved.
+    account.others = (*(int(at) for at in others), *[now] * int(out))[-max(1, gateway.s.plans[plan].open) :]
+    gateway.accounts[account.customer] = account
+    gateway.idle_queue.append(account.customer)
+    if changed:
+        gateway.changed[account.customer] = None
+
+
+_ADOPT = {
+    "learnt": _learnt,
+    "heard": _heard,
+    "met": _met,
+    "zone": _zone,
+    "excluded": _excluded,
+    "returned": _returned,
+    "host": _host,
+    "account": _account,
+}
--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -43,6 +43,7 @@
         self.usual = [START_OF_AIM * c.aim for c in settings.classes]
         self.learnt = [0] * len(settings.classes)  # answers that the usual times were learnt of
         self.budget = REPEAT_MOST
+        self.handed_over = False  # a successor has the counts: no first send any more
 
     def start(self) -> list[api.Action]:
         """The first actions, once the gateway is up."""
@@ -67,7 +68,7 @@
     def _check_arrived(self, event: api.CheckArrived) -> None:
         """Who sends on by itself: what is let in takes its units exactly as a first send of ours does."""
         request = Request(event, self.s.classes[event.kind], self.now)
-        if self._admits(request):
+        if not self.handed_over and self._admits(request):
             self._spend(request.account, event.units)
             self.actions.append(api.Admit(event.request))
         else:  # it asks for other people, and heeds what it is told: no limit as for our own clients
@@ -83,7 +84,7 @@
         if self.now >= last_call or len(request.attempts) >= self.s.max_attempts:
             return self._end(request)
         first = not request.attempts
-        if first and not self._admits(request):
+        if first and (self.handed_over or not self._admits(request)):
             return self._end(request)
         host = self._choose(request)
         if host is None:
--- a/orchidlane/shedding.py
+++ b/orchidlane/shedding.py
@@ -188,6 +188,15 @@
                     found.append(one)
         return found
 
+    def clear(self) -> list[Waiting]:
+        """All that wait; they are out."""
+        found = [
+            one for lanes in self.lanes for lane in lanes for flow in lane.flows.values() for one in flow
+        ]
+        for one in found:
+            self.drop(one)
+        return found
+
     def take(self, now: int) -> Waiting | None:
         """The next to be begun: plans by turns, in each the highest worth, in that customers by turns."""
         if not self.count:
--- a/saffrongw/gateway/clients.py
+++ b/saffrongw/gateway/clients.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 from collections import deque
+from collections.abc import Callable
 
 from orchidlane.shedding import Waiting
 
@@ -73,8 +74,9 @@
 class Client(asyncio.Protocol):
     """One client connection: waiting for a whole command, busy with some, idle, or closing."""
 
-    def __init__(self, clients: Clients) -> None:
+    def __init__(self, clients: Clients, begun: bytes = b"") -> None:
         self.clients = clients
+        self.begun = begun  # what another process has read of it and not taken
         self.flushing = False  # once this turn is over
         self.reader = CommandReader()
         self.slots: deque[Slot] = deque()
@@ -87,6 +89,9 @@
         """A client has connected."""
         self.transport = transport
         self.clients.opened(self)
+        begun, self.begun = self.begun, b""
+        if begun or self.clients.heir:
+            self.data_received(begun)
 
     def pause_writing(self) -> None:
         """Guards memory: a client that reads no answers is not read from either."""
@@ -101,6 +106,7 @@
     def _throttle(self) -> None:
         """Read only while there is room for answers; what has been read and not taken stays one read long."""
         reading = self.writing and not self.closing and len(self.slots) < WAITING_MOST
+        reading = reading and self.clients.heir is None
         if reading is not self.reading and not self.transport.is_closing():
             self.reading = reading
             (self.transport.resume_reading if reading else self.transport.pause_reading)()
@@ -117,7 +123,8 @@
             return
         self.taking = True
         try:
-            self._take_all()
+            if self.clients.heir is None:  # else whoever gets the connection takes what is left
+                self._take_all()
         except Malformed as wrong:  # one that makes no sense ends its connection: the rest is not looked at
             self.end(str(wrong))
         self.taking = False
@@ -217,11 +224,24 @@
     def settle(self) -> None:
         """Note what the connection waits for now, or close it if it shall be closed."""
         if not self.transport.is_closing():
+            if self.clients.heir and not self.slots and not self.closing and self._hand_over():
+                return
             if not self.slots and (self.closing or (self.clients.draining and not len(self.reader))):
                 self.clients.ending.pop(self, None)  # from now on it may take its time to read
                 self.transport.close()
             self.clients.note(self)
 
+    def _hand_over(self) -> bool:
+        """Give the connection to the successor, with what was read of its next command."""
+        if self.transport.get_write_buffer_size():
+            return False
+        left = self.reader.data[self.reader.at :]
+        if not self.clients.heir(self.transport.get_extra_info("socket").fileno(), left):
+            return False
+        self.clients.lost(self)
+        self.transport.abort()  # only our descriptor of it is closed
+        return True
+
     def connection_lost(self, error: Exception | None) -> None:
         """The client has gone away, and with it all that it waited for."""
         self.clients.lost(self)
@@ -249,14 +269,44 @@
         self.numbers: set[bytes] = set()  # ids of open requests
         self.draining = False
         self.acceptor: Acceptor | None = None
+        self.heir: Callable[[int, bytes], bool] | None = None  # who gets connections that fall idle
 
-    async def listen(self) -> None:
-        """Serve from now on; a new version of the program may listen beside this one."""
-        listener = socket.create_server(self.config.listen, backlog=BACKLOG, reuse_port=True)
+    async def listen(self, listener: socket.socket | None = None) -> None:
+        """Serve from now on, on a socket that listens already if there is one; others may listen beside it."""
+        listener = listener or socket.create_server(self.config.listen, backlog=BACKLOG, reuse_port=True)
         self.acceptor = Acceptor(self.loop, listener, self._make_room, lambda: Client(self))
         self.acceptor.start()
         self._sweep()
 
+    def adopt(self, sock: socket.socket, begun: bytes) -> None:
+        """Serve a connection that another process has accepted, and what it had read of the next command."""
+        if self._make_room():
+            self.acceptor.adopt(sock, Client(self, begun))
+        else:
+            sock.close()
+
+    def hand_over(self, heir: Callable[[int, bytes], bool]) -> None:
+        """Begin nothing more; connections go to the successor as they fall idle, what waits is refused."""
+        self.heir = heir
+        self.acceptor.close()
+        self.intake.refuse_all()
+        for client in list(self.open):
+            client._throttle()
+            client.settle()
+
+    async def finish(self) -> None:
+        """Until all that is held is finished."""
+        end = self.loop.time() + UNFINISHED_FOR
+        while (
+            self.driver.calls
+            or self.intake.pressed
+            or self.acceptor.opening
+            or (self.open and self.loop.time() < end)
+        ):
+            for client in list(self.open):
+                client.settle()
+            await asyncio.sleep(0.01)
+
     def count_shed(self, group: bytes) -> None:
         """One more refused before it was read; ``CLASS,t=PLAN``."""
         kind = self.config.classes.get(group.partition(b",")[0])
@@ -346,11 +396,7 @@
         self.quiesce()
         await asyncio.sleep(accept_for)
         self.acceptor.close()
-        end = self.loop.time() + UNFINISHED_FOR
-        while self.driver.calls or self.intake.pressed or (self.open and self.loop.time() < end):
-            for client in list(self.open):
-                client.settle()
-            await asyncio.sleep(0.01)
+        await self.finish()
 
 
 def _older(group: dict[Client, float], than: float) -> list[Client]:
--- a/saffrongw/gateway/hosts.py
+++ b/saffrongw/gateway/hosts.py
@@ -10,7 +10,9 @@
 import logging
 import re
 import select
+import socket
 from collections import deque
+from collections.abc import Callable
 
 import hiredis
 
@@ -166,8 +168,8 @@
 class Pool:
     """The connections to one host; the one used last is used first, so that surplus ones grow idle."""
 
-    def __init__(self, hosts: Hosts, address: Address, born: int) -> None:
-        self.hosts, self.address, self.born = hosts, address, born
+    def __init__(self, hosts: Hosts, server: api.Server, address: Address, born: int) -> None:
+        self.hosts, self.server, self.address, self.born = hosts, server, address, born
         self.idle: list[Connection] = []
         self.opening: set[asyncio.Task] = set()
         self.waiting: deque[Attempt] = deque()
@@ -221,12 +223,32 @@
 
     def rest(self, connection: Connection) -> None:
         """It is free again."""
-        if self.retired:
+        if self.retired or (self.hosts.heir and self._hand_over(connection)):
             connection.abort()
         else:
             connection.idle_since = self.hosts.loop.time()
             self.idle.append(connection)
 
+    def _hand_over(self, connection: Connection) -> bool:
+        """Give a connection to the successor; nothing is out on it, and all that came was taken."""
+        fd = connection.transport.get_extra_info("socket").fileno()
+        return self.hosts.heir(self.server, self.born, fd)
+
+    def hand_over(self) -> None:
+        """Give all that are idle to the successor."""
+        for connection in list(self.idle):
+            if not connection.transport.is_closing() and connection.quiet():
+                self._hand_over(connection)
+            connection.abort()
+
+    async def adopt(self, sock: socket.socket) -> None:
+        """Use a connection that another process has opened."""
+        try:
+            await self.hosts.loop.create_connection(lambda: Connection(self), sock=sock)
+        except OSError:
+            self.hosts.sockets -= 1
+            sock.close()
+
     def close_idle(self, before: float) -> None:
         """Close what has been idle since before then; the oldest stand first."""
         while self.idle and self.idle[0].idle_since <= before:
@@ -264,8 +286,26 @@
         self.sockets = 0  # open or opening
         self.closing: set[Connection] = set()
         self.pools: dict[api.Server, Pool] = {}
+        self.heir: Callable[[api.Server, int, int], bool] | None = None  # who gets connections that fall idle
         self._sweep()
 
+    def hand_over(self, heir: Callable[[api.Server, int, int], bool]) -> None:
+        """Connections go to the successor as they fall idle; heir gets host, its launch and a descriptor."""
+        self.heir = heir
+        for pool in self.pools.values():
+            pool.hand_over()
+
+    def adopt(self, server: api.Server, born: int, sock: socket.socket) -> None:
+        """A connection to a host that another process has opened, if it still leads to the same life of it."""
+        pool = self.pools.get(server)
+        if pool is None or pool.born != born or self.heir or not self.make_room():
+            sock.close()
+            return
+        self.sockets += 1
+        task = self.loop.create_task(pool.adopt(sock))
+        pool.opening.add(task)
+        task.add_done_callback(pool.opening.discard)
+
     def told(self, listed: HostList) -> list[Attempt]:
         """Follow discovery: idle connections to hosts that are gone or moved are closed. The attempts that
         waited for one are given back."""
@@ -280,7 +320,7 @@
             if pool and (gone or pool.address != host.address or entry.launched > pool.born):
                 stranded += self.pools.pop(entry.server).retire()
             if not gone and entry.server not in self.pools:
-                self.pools[entry.server] = Pool(self, host.address, entry.launched)
+                self.pools[entry.server] = Pool(self, entry.server, host.address, entry.launched)
             if entry.phase is api.Phase.DRAINING:
                 self.pools[entry.server].close_idle(float("inf"))
         return stranded
--- a/saffrongw/gateway/intake.py
+++ b/saffrongw/gateway/intake.py
@@ -69,6 +69,12 @@
         self.shut.add(customer if self.shedder.too_many(terms.customer) else group)
         return None
 
+    def refuse_all(self) -> None:
+        """Nothing is begun any more: what waits is refused."""
+        refusal = busy(0)
+        for one in self.shedder.clear():
+            one.tag[1](refusal)
+
     def _refusal(self, now: int) -> bytes:
         """Of what is shed: nothing was sent, so that trying again is harmless."""
         self.refusal = self._answer(now)
--- a/saffrongw/gateway/listeners.py
+++ b/saffrongw/gateway/listeners.py
@@ -61,13 +61,12 @@
             except OSError:  # none is left, or it has gone again
                 return
             if self.room():
-                self.adopt(sock)
+                self.adopt(sock, self.protocol())
             else:
                 sock.close()
 
-    def adopt(self, sock: socket.socket) -> None:
+    def adopt(self, sock: socket.socket, protocol: asyncio.Protocol) -> None:
         """Serve a connection that is up."""
-        protocol = self.protocol()
         self.pending.add(protocol)
         task = self.loop.create_task(self._open(sock, protocol))
         self.tasks.add(task)
--- a/saffrongw/gateway/operations.py
+++ b/saffrongw/gateway/operations.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from orchidlane import interface as api
 
 from .clients import Clients
@@ -19,6 +21,7 @@
     def __init__(self, driver: Driver, clients: Clients, config: Config) -> None:
         self.driver, self.clients, self.config = driver, clients, config
         self.serving = False
+        self.tell: Callable[..., object] = lambda *message: None  # the other process of an upgrade
 
     def able(self) -> bool:
         """Whether this process can serve."""
@@ -42,17 +45,32 @@
             return "no host has this id"
         if len(gateway.excluded) >= EXCLUDED_MOST and server not in gateway.excluded:
             return "too many hosts are out"
-        self.driver.feed(api.ExclusionChanged(server, SOURCE, True))
-        self.driver.hosts.rest_at(server)
+        self._exclude(server, True)
+        self.tell("exclusion", server.decode("latin-1"), True)
         return None
 
     def uncordon(self, server: api.Server) -> str | None:
         """Use a host again; why not where there is none of this id."""
         if not self._known(server):
             return "no host has this id"
-        self.driver.feed(api.ExclusionChanged(server, SOURCE, False))
+        self._exclude(server, False)
+        self.tell("exclusion", server.decode("latin-1"), False)
         return None
 
+    def _exclude(self, server: api.Server, excluded: bool) -> None:
+        self.driver.feed(api.ExclusionChanged(server, SOURCE, excluded))
+        if excluded:
+            self.driver.hosts.rest_at(server)
+
+    def told(self, message: list) -> None:
+        """What operators asked of the other process of an upgrade holds here too."""
+        if message[0] == "exclusion":
+            self._exclude(message[1].encode("latin-1"), bool(message[2]))
+        elif message[0] == "quiesced":
+            (self.clients.quiesce if message[1] else self.clients.resume)()
+        else:
+            raise ValueError(f"unknown message {message[0]!r}")
+
     def _known(self, server: api.Server) -> bool:
         gateway = self.driver.gateway
         return server in gateway.hosts or SOURCE in gateway.excluded.get(server, ())
@@ -60,7 +78,9 @@
     def quiesce(self) -> None:
         """Take no more clients."""
         self.clients.quiesce()
+        self.tell("quiesced", True)
 
     def resume(self) -> None:
         """Take clients again."""
         self.clients.resume()
+        self.tell("quiesced", False)
--- a/saffrongw/gateway/peers.py
+++ b/saffrongw/gateway/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 from orchidlane import messages
 
@@ -17,6 +18,22 @@
         self.driver, self.addresses = driver, addresses
         self.ranks = {address: rank for rank, address in enumerate(addresses) if rank != own}
         self.transport: asyncio.DatagramTransport | None = None
+        self.sock: socket.socket | None = None
+
+    async def listen(self, sock: socket.socket | None, address: Address) -> None:
+        """Hear and tell from now on, on a socket that is bound already if there is one."""
+        if sock is None:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)  # a new version binds beside this one
+            sock.bind(address)
+        sock.setblocking(False)
+        self.sock = sock
+        await self.driver.loop.create_datagram_endpoint(lambda: self, sock=sock)
+
+    def close(self) -> None:
+        """Hear and tell nothing more."""
+        self.driver.tell_peer = lambda rank, body: None
+        self.transport.close()
 
     def connection_made(self, transport: asyncio.DatagramTransport) -> None:
         """The socket is bound."""
--- a/saffrongw/gateway/process.py
+++ b/saffrongw/gateway/process.py
@@ -26,6 +26,7 @@
 from .operators import OperatorCalls
 from .peers import Peers
 from .plug import Plugs
+from .succession import Estate, Inheritance
 
 log = logging.getLogger(__name__)
 
@@ -105,11 +106,9 @@
         config.idle_close,
         config.connect_timeout,
     )
-    if config.peer_listen and config.settings.may_tell_peers:
-        await loop.create_datagram_endpoint(
-            lambda: Peers(driver, config.peers, config.settings.rank), local_addr=config.peer_listen
-        )
-    driver.start(config.known)
+    hosts = driver.hosts
+    inheritance = await Inheritance.of(loop, config.listen)
+    driver.start((inheritance and inheritance.listed) or config.known)
     for service in plugs.services if plugs else ():
         await service.start(driver)
     watch = Watch(loop, config.discovery, config.zones, driver.listed)
@@ -127,17 +126,44 @@
     calls = OperatorCalls(loop, operations)
     if config.admin:
         calls.listen(config.admin)
-    await clients.listen()
-    operations.serving = True
-    gc.collect()
-    gc.freeze()  # what is loaded by now stays: it need not be looked through again
-    await stop.wait()
-    await clients.drain(ACCEPT_FOR)
+    if inheritance:
+        inheritance.attach(driver, hosts, clients, operations)
+        operations.serving = True  # the running process does, until it hands over
+        await _either(inheritance.go, stop)
+    if not stop.is_set():
+        peers = None
+        if config.peer_listen and config.settings.may_tell_peers:
+            peers = Peers(driver, config.peers, config.settings.rank)
+            await peers.listen(inheritance and inheritance.peers, config.peer_listen)
+        await clients.listen(inheritance and inheritance.listener)
+        operations.serving = True
+        if inheritance:
+            inheritance.serve()
+        estate = Estate(driver, hosts, clients, operations, peers)
+        estate.listen()
+        gc.collect()
+        gc.freeze()  # what is loaded by now stays: it need not be looked through again
+        await stop.wait()
+        if estate.has_heir:
+            await estate.hand_over()
+        else:
+            await clients.drain(ACCEPT_FOR)
+        estate.close()
+    elif inheritance:
+        inheritance.close()  # told to end before it came to serve: the running process goes on
     calls.close()
     for service in plugs.services if plugs else ():
         await service.stop()
 
 
+async def _either(*events: asyncio.Event) -> None:
+    """Wait for the first of them."""
+    waits = [asyncio.ensure_future(event.wait()) for event in events]
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
+
+
 def start_log() -> None:
     """Warnings and worse on standard error, so many lines a span."""
     logging.basicConfig(level=logging.WARNING, format="%(asctime)s %(levelname)s %(message)s")
--- /dev/null
+++ b/saffrongw/gateway/succession.py
@@ -0,0 +1,241 @@
+"""Both sides of an upgrade in service: what the running gateway gives, and how its successor takes it up."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+
+from orchidlane import handover
+from orchidlane import interface as api
+
+from .clients import Clients
+from .config import HostEntry, HostList
+from .driver import Driver
+from .hosts import Hosts
+from .operations import Operations
+from .peers import Peers
+from .takeover import ANSWER_WITHIN, Channel, Incumbent, find_incumbent, packed, path_for
+
+log = logging.getLogger(__name__)
+
+CHUNK = 4 * 1024  # bytes of a command in one packet, which may hold six times as many in JSON
+BEGUN_MOST = 8 << 20  # bytes of a command that was begun, over all that are still to come
+
+
+class Estate:
+    """The running gateway's side."""
+
+    def __init__(
+        self,
+        driver: Driver,
+        hosts: Hosts,
+        clients: Clients,
+        operations: Operations,
+        peers: Peers | None,
+    ) -> None:
+        self.driver, self.hosts, self.clients = driver, hosts, clients
+        self.operations, self.peers = operations, peers
+        path = path_for(clients.config.listen)
+        self.incumbent = Incumbent(driver.loop, path, self._greet, operations.told) if path else None
+
+    def listen(self) -> None:
+        """Be found by a successor from now on."""
+        if self.incumbent:
+            self.incumbent.listen()
+            self.operations.tell = self._tell
+
+    def close(self) -> None:
+        """Not found any more."""
+        if self.incumbent:
+            self.incumbent.close()
+
+    @property
+    def has_heir(self) -> bool:
+        """Whether a successor can serve."""
+        return self.incumbent is not None and self.incumbent.ready
+
+    def _tell(self, *message) -> None:
+        if self.incumbent.channel:
+            self.incumbent.channel.tell(*message)
+
+    def _greet(self, channel: Channel) -> None:
+        """All that a successor needs to get ready, while nothing changes hands yet."""
+        fds = [self.clients.acceptor.listener.fileno()]
+        if self.peers:
+            fds.append(self.peers.sock.fileno())
+        channel.tell("sockets", len(fds), fds=tuple(fds))
+        gateway = self.driver.gateway
+        for rows in packed(_listed(gateway.hosts.values(), self.hosts)):
+            channel.tell("listed", rows)
+        for rows in packed(handover.exclusions(gateway)):
+            channel.tell("rows", rows)
+        channel.tell("quiesced", self.clients.draining)
+        channel.tell("greeted")
+
+    async def hand_over(self) -> None:
+        """The successor serves from now on; here what is held is finished."""
+        incumbent, channel = self.incumbent, self.incumbent.channel
+        incumbent.stop_listening()
+        if self.peers:
+            self.peers.close()
+        for rows in packed(handover.export(self.driver.gateway, self.driver.clock())):
+            channel.tell("rows", rows)
+        channel.tell("go")
+        self.hosts.hand_over(self._give_host)
+        self.clients.hand_over(self._give_client)
+        await self.clients.finish()
+        await channel.sent()
+
+    def _give_client(self, fd: int, begun: bytes) -> bool:
+        channel = self.incumbent.channel
+        if channel is None or not channel.tell("client", len(begun), fds=(fd,)):
+            return False
+        for at in range(0, len(begun), CHUNK):
+            channel.tell("begun", begun[at : at + CHUNK].decode("latin-1"))
+        return True
+
+    def _give_host(self, server: api.Server, born: int, fd: int) -> bool:
+        channel = self.incumbent.channel
+        return channel is not None and channel.tell("host", server.decode("latin-1"), born, fds=(fd,))
+
+
+def _listed(hosts, pools: Hosts):
+    """The list of hosts as rows: as discovery tells it, and where to connect."""
+    for host in hosts:
+        entry, pool = host.entry, pools.pools.get(host.entry.server)
+        if pool:
+            place = [entry.server.decode("latin-1"), entry.phase.value, entry.zone, entry.cell]
+            yield [*place, pool.born, entry.size, *pool.address]
+
+
+class Inheritance:
+    """The successor's side."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
+        self.loop = loop
+        self.listener: socket.socket | None = None
+        self.peers: socket.socket | None = None
+        self.hosts: list[HostEntry] = []
+        self.rows: list[list] = []  # until the decisions are there to take them
+        self.notes: list[list] = []  # and what operators asked of the other process
+        self.greeted, self.go = asyncio.Event(), asyncio.Event()
+        self.lost = False
+        self.parts: tuple[Driver, Hosts, Clients, Operations] | None = None
+        self.begun: tuple[socket.socket, int, bytearray] | None = None  # a client's connection still to come
+        self.adopted: list[tuple] = []  # connections that came before this process listens
+        self.serving = False
+        self.channel = Channel(loop, sock, self._told, self._lost)
+
+    @classmethod
+    async def of(cls, loop: asyncio.AbstractEventLoop, listen: tuple[str, int]) -> Inheritance | None:
+        """What the running process gives; None where there is none that answers."""
+        sock = await find_incumbent(loop, path_for(listen))
+        if sock is None:
+            return None
+        found = cls(loop, sock)
+        try:
+            async with asyncio.timeout(ANSWER_WITHIN):
+                await found.greeted.wait()
+        except TimeoutError:
+            log.warning("takeover: the running process did not answer")
+        if found.lost or not found.greeted.is_set():
+            found.close()
+            return None
+        return found
+
+    def _lost(self) -> None:
+        self.lost = True
+        self.greeted.set()
+        self.go.set()  # it is gone: nobody else serves
+
+    @property
+    def listed(self) -> HostList | None:
+        """The list as the running process has it."""
+        return HostList(0, True, tuple(self.hosts)) if self.hosts else None
+
+    def attach(self, driver: Driver, hosts: Hosts, clients: Clients, operations: Operations) -> None:
+        """The parts are there: take over what was told so far, and all that follows."""
+        self.parts = driver, hosts, clients, operations
+        rows, self.rows = self.rows, []
+        self._adopt(rows)
+        for note in self.notes:
+            operations.told(note)
+        operations.tell = self.channel.tell
+        self.channel.tell("ready")
+
+    def serve(self) -> None:
+        """This process listens: connections that came before are served."""
+        self.serving = True
+        adopted, self.adopted = self.adopted, []
+        for method, *args in adopted:
+            method(*args)
+
+    def close(self) -> None:
+        """Nothing more is taken; where it never came to serve, the running process goes on."""
+        self.channel.close()
+        for sock in (self.listener, self.peers):
+            if sock and not self.serving:
+                sock.close()
+
+    def _told(self, message: list, sockets: list[socket.socket]) -> None:
+        kind = message[0]
+        if kind == "sockets":
+            self.listener, *rest = sockets
+            self.peers = rest[0] if rest else None
+        elif kind == "listed":
+            self.hosts += [_entry(row) for row in message[1]]
+        elif kind == "rows":
+            if self.parts:
+                self._adopt(message[1])
+            else:
+                self.rows += message[1]
+        elif kind == "greeted":
+            self.greeted.set()
+        elif kind == "go":
+            self.go.set()
+        elif kind == "client":
+            (sock,) = sockets
+            self.begun = sock, int(message[1]), bytearray()
+            self._client()
+        elif kind == "begun":
+            self.begun[2].extend(message[1].encode("latin-1"))
+            self._client()
+        elif kind == "host":
+            (sock,) = sockets
+            self._when_serving(self.parts[1].adopt, message[1].encode("latin-1"), int(message[2]), sock)
+        elif self.parts:
+            self.parts[3].told(message)
+        else:
+            self.notes.append(message)
+
+    def _client(self) -> None:
+        sock, length, begun = self.begun
+        if length > BEGUN_MOST:
+            self.begun = None
+            raise ValueError("a command that was begun is too long")
+        if len(begun) >= length:
+            self.begun = None
+            self._when_serving(self.parts[2].adopt, sock, bytes(begun))
+
+    def _when_serving(self, method, *args) -> None:
+        if self.serving:
+            method(*args)
+        else:
+            self.adopted.append((method, *args))
+
+    def _adopt(self, rows: list) -> None:
+        driver = self.parts[0]
+        for row in rows:
+            try:
+                handover.adopt(driver.gateway, driver.clock(), row)
+            except handover.OddRow as odd:  # the others stand
+                log.warning("takeover: a row is left out: %s", odd)
+
+
+def _entry(row: list) -> HostEntry:
+    server, phase, zone, cell, born, size, host, port = row
+    entry = api.ServerEntry(
+        str(server).encode("latin-1"), api.Phase(phase), int(zone), int(cell), int(born), float(size)
+    )
+    return HostEntry(entry, (str(host), int(port)))
