Takeover tested with real processes; a server's own slow mark weighs less in the choice

Tests: connections idle, busy and half read go on over an upgrade while others knock without a refusal; what is spent and what is out by hand hold over two upgrades; a successor that is lost, an old one that is killed or stands still, packets that make no sense. Found by them: a long path of TMPDIR had no takeover (the kernel takes a hundred bytes; bound through /proc/self/fd now), and marks of hosts older than the successor's start were dropped.

--- a/orchidlane/handover.py
+++ b/orchidlane/handover.py
@@ -1,9 +1,9 @@
-"""What one process of a gateway tells its successor, as plain rows: counts, exclusions, what was learnt of hosts.
+"""What one process of a gateway tells its successor, as plain rows: counts, exclusions, marks of hosts.
 
-Pure. A row is a list that JSON holds: its kind, then its values; server ids are text. Both processes read one
-clock and are one gateway to all others (the same rank, the same starts of counts), so that the successor goes on
-with the counts and grants nobody a fresh allowance. Only one of the two decides first sends at a time: after
-``export`` the old one refuses what it has not sent (``Gateway.handed_over``): what it spent nobody would know.
+Pure. A row is a list that JSON holds: its kind, then its values; server ids are text. Both processes read
+one clock and are one gateway to all others (the same rank, the same starts of counts), so that the successor
+goes on with the counts and grants nobody a fresh allowance. Only one of the two decides first sends at a
+time: after ``export`` the old one refuses what it has not sent (``Gateway.handed_over``).
 """
 
 from __future__ import annotations
@@ -97,7 +97,7 @@
 
 
 def _known(known: Known, seen: int, slow: float, fails: float) -> None:
-    if seen > known.seen:
+    if seen >= known.seen or (known.slow, known.fails) == (1.0, 0.0):  # listed lately, and not met
         known.seen, known.slow, known.fails = int(seen), float(slow), float(fails)
 
 
--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -20,6 +20,7 @@
 LEARN = 0.15  # weight of the newest answer time
 FORGET = 3 * SECOND  # after this a slow server's mark has faded to a third: gentle return
 SLOW_MOST = 8.0  # times the idle answer time that one answer may count for
+TELLING = 0.4  # weight of a server's own mark in the choice: a single slow answer must not leave it idle
 FAIL_WEIGHT = 3.0  # an attempt that failed makes a server look this much slower
 FAULT = 0.1  # of that for one that was answered or broken: any server may now and then spoil one answer
 AVOIDED = 2.0  # faded failures in a row from which a server counts as avoided: it looks seven times slower
@@ -137,7 +138,7 @@
         zones, best, least = {}, None, math.inf
         for host in hosts:
             fade = math.exp((host.seen - now) / FORGET)
-            cost = usual * (fleet + (host.slow - fleet) * fade) * (host.out + BASE) / host.typical
+            cost = usual * (fleet + (host.slow - fleet) * fade * TELLING) * (host.out + BASE) / host.typical
             if host.fails:
                 cost *= 1 + FAIL_WEIGHT * host.fails * fade
             if host.out and now - host.active > cost:
--- a/saffrongw/gateway/takeover.py
+++ b/saffrongw/gateway/takeover.py
@@ -12,13 +12,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import logging
 import os
 import socket
 import struct
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 from orchidlane import handover
@@ -36,11 +37,17 @@
 def path_for(listen: tuple[str, int]) -> Path | None:
     """Where the process that serves an address is found; None without a place of its own."""
     folder = os.environ.get("TMPDIR")
-    path = Path(folder) / f"saffrongw-{listen[0]}-{listen[1]}.sock" if folder else None
-    if path and len(bytes(path)) > 100:  # the kernel's limit
-        log.warning("no takeover: the path of $TMPDIR is too long")
-        return None
-    return path
+    return Path(folder) / f"saffrongw-{listen[0]}-{listen[1]}.sock" if folder else None
+
+
+@contextlib.contextmanager
+def _address(path: Path) -> Iterator[str]:
+    """A name for the path that the kernel takes: it has room for a hundred bytes, and $TMPDIR may be longer."""
+    folder = os.open(path.parent, os.O_PATH | os.O_DIRECTORY)
+    try:
+        yield f"/proc/self/fd/{folder}/{path.name}"
+    finally:
+        os.close(folder)
 
 
 def _same_user(sock: socket.socket) -> bool:
@@ -167,7 +174,8 @@
             self.path.unlink(missing_ok=True)
             old = os.umask(0o177)
             try:
-                listener.bind(bytes(self.path))
+                with _address(self.path) as address:
+                    listener.bind(address)
             finally:
                 os.umask(old)
             listener.listen(4)
@@ -228,7 +236,8 @@
     sock.setblocking(False)
     try:
         async with asyncio.timeout(ANSWER_WITHIN):
-            await loop.sock_connect(sock, str(path))
+            with _address(path) as address:
+                await loop.sock_connect(sock, address)
         if _same_user(sock):
             return sock
         log.warning("takeover: the process at %s is another user's", path)
--- /dev/null
+++ b/tests/faults/test_takeover.py
@@ -0,0 +1,287 @@
+"""A new version beside the old, as real processes: no request meets a closed door, and what fails on the way."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+
+import hiredis
+from conftest import SITE, Caller, FakeHost, asyncio_test, configured, error, until, value
+
+from saffrongw.gateway.takeover import _address
+from standin.processes import die_with_parent, free_port
+
+
+class Gateway:
+    """One process of the program, and its operators' address."""
+
+    @classmethod
+    async def start(cls, folder: Path, file: Path) -> Gateway:
+        self = cls()
+        self.admin = free_port()
+        environment = os.environ | {
+            "LB_CONFIG": str(file),
+            "LB_ADMIN": f"127.0.0.1:{self.admin}",
+            "TMPDIR": str(folder),
+        }
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "saffrongw", env=environment, preexec_fn=die_with_parent
+        )
+        await self.says_yes()
+        return self
+
+    async def call(self, method: str, path: str, body: str = "") -> tuple[int, bytes]:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.admin)
+        head = f"{method} /admin/{path} HTTP/1.1\r\nhost: x\r\ncontent-length: {len(body)}\r\n\r\n{body}"
+        writer.write(head.encode())
+        answer = await reader.read()
+        writer.close()
+        return int(answer.split()[1]), answer
+
+    async def says_yes(self) -> None:
+        async with asyncio.timeout(20):
+            while True:
+                try:
+                    if (await self.call("GET", "health"))[0] == 200:
+                        return
+                except (OSError, IndexError):
+                    pass
+                await asyncio.sleep(0.02)
+
+    async def ends(self, number=signal.SIGTERM) -> int:
+        self.process.send_signal(number)
+        return await asyncio.wait_for(self.process.wait(), 20)
+
+
+class Place:
+    """One address with its host, and a folder that both processes share."""
+
+    def __init__(self, folder: Path, host: FakeHost, **changes) -> None:
+        self.folder, self.host = folder, host
+        known = {"seq": 1, "whole": True, "hosts": [host.line(host=name) for name in "abcdef"]}
+        site = SITE | changes
+        site["permissions"] = SITE["permissions"] | {"peers": False}
+        self.file, self.port = configured(folder, known=known, settings=site)
+
+    async def gateway(self) -> Gateway:
+        return await Gateway.start(self.folder, self.file)
+
+    async def caller(self) -> Caller:
+        loop = asyncio.get_running_loop()
+        return (await loop.create_connection(Caller, "127.0.0.1", self.port))[1]
+
+    @property
+    def socket(self) -> Path:
+        return self.folder / f"saffrongw-127.0.0.1-{self.port}.sock"
+
+
+def unix_sockets(gateway: Gateway) -> int:
+    """How many Unix sockets a process holds that are bound or connected to one that is."""
+    lines = Path("/proc/net/unix").read_text().splitlines()[1:]
+    inodes = {f"socket:[{line.split()[6]}]" for line in lines}
+    folder = Path(f"/proc/{gateway.process.pid}/fd")
+    return sum(os.readlink(fd) in inodes for fd in folder.iterdir())
+
+
+@asyncio_test
+async def test_connections_idle_busy_and_half_read_go_on_and_none_is_refused(tmp_path):
+    host = await FakeHost("a").listen()
+    host.script = lambda command: None if command[2] == b"slow" else value(command[2])
+    place = Place(tmp_path, host)
+    old = await place.gateway()
+    idle, busy, half, piped = [await place.caller() for _ in range(4)]
+    idle.call(number=b"first")
+    assert await idle.replied() == [b"first"]
+    busy.call(number=b"slow")
+    command = hiredis.pack_command(
+        (
+            b"CALL.POST",
+            b"0000000000000007",
+            b"half",
+            b"c=bill,t=team,d=9000,units=1,spread=2,first=0",
+            b"BODY",
+        )
+    )
+    half.transport.write(command[:-9])
+    await until(lambda: any(c[2] == b"slow" for c in host.commands))
+    new = await place.gateway()
+    assert (await idle_answer(idle, b"between")) == b"between"  # the old one still serves
+    piped.call(number=b"slow2")  # behind it a command that the old one will not begin
+
+    stop, refused = asyncio.Event(), []
+
+    async def knock() -> None:
+        number = 0
+        while not stop.is_set():
+            number += 1
+            try:
+                caller = await place.caller()
+            except OSError as wrong:
+                refused.append(wrong)
+                continue
+            caller.call(number=b"k%d" % number)
+            await until(lambda: caller.replies or caller.closed)  # noqa: B023
+            if caller.replies != [b"k%d" % number]:
+                refused.append(caller.replies)
+            caller.transport.close()
+
+    knocking = asyncio.ensure_future(knock())
+    await asyncio.sleep(0.05)
+    old.process.terminate()
+    await until(lambda: not open_listener(old, place.port))
+    half.transport.write(command[-9:])
+    assert await half.replied() == [b"half"]
+    slow = next(c for c in host.connections if c.transport)  # whichever carries it: all get the answer
+    assert slow
+    for connection in list(host.connections):
+        if connection.reader.gets() is False and not busy.replies:
+            connection.transport.write(value(b"slow"))
+    await until(lambda: busy.replies)
+    assert await asyncio.wait_for(old.process.wait(), 20) == 0
+    stop.set()
+    await knocking
+    assert refused == []
+    for caller in (idle, busy, half):
+        assert not caller.closed
+        assert (await idle_answer(caller, b"after")) == b"after"
+    ids = [bytes(c[2]) for c in host.commands]
+    assert ids.count(b"half") == ids.count(b"slow") == 1  # nothing ran twice
+    assert await new.ends() == 0
+
+
+def open_listener(gateway: Gateway, port: int) -> bool:
+    """Whether a process still holds a socket that listens at this port."""
+    inodes = set()
+    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        words = line.split()
+        if words[3] == "0A" and int(words[1].split(":")[1], 16) == port:
+            inodes.add(f"socket:[{words[9]}]")
+    folder = Path(f"/proc/{gateway.process.pid}/fd")
+    try:
+        return any(os.readlink(fd) in inodes for fd in folder.iterdir())
+    except OSError:
+        return False
+
+
+async def idle_answer(caller: Caller, number: bytes) -> bytes:
+    count = len(caller.replies)
+    caller.call(number=number)
+    return (await caller.replied(count + 1))[count]
+
+
+@asyncio_test
+async def test_what_a_customer_spent_and_what_is_out_by_hand_hold_over_an_upgrade(tmp_path):
+    host = await FakeHost("a").listen()
+    plan = SITE["packages"][0] | {"perSecond": 0.001, "peakUnits": 4.0}
+    place = Place(tmp_path, host, packages=[plan])
+    old = await place.gateway()
+    assert (await old.call("POST", "cordon", "a"))[0] == 200
+    caller = await place.caller()
+    for number in range(8):
+        caller.call(number=b"%d" % number)
+        await caller.replied(number + 1)
+    spent = len(host.commands)
+    assert 1 <= spent <= 4
+    new = await place.gateway()
+    assert (await new.call("POST", "cordon", "b"))[0] == 200  # told to one, it holds for both
+    await until_figure(old, b"hosts_down=2")
+    assert await old.ends() == 0
+    caller.call(number=b"again")
+    assert error((await caller.replied(9))[8]).startswith("BUSY")
+    assert len(host.commands) == spent
+    assert b"svc.hosts_down=2" in (await new.call("GET", "stats"))[1]
+    assert (await new.call("POST", "uncordon", "a"))[0] == 200
+    third = await place.gateway()  # and once more
+    await until_figure(third, b"hosts_down=1")
+    assert await new.ends() == 0
+    assert await third.ends() == 0
+    assert not place.socket.exists()
+
+
+async def until_figure(gateway: Gateway, line: bytes) -> None:
+    async with asyncio.timeout(10):
+        while b"svc." + line not in (await gateway.call("GET", "stats"))[1]:
+            await asyncio.sleep(0.01)
+
+
+@asyncio_test
+async def test_a_successor_that_is_lost_is_forgotten_and_the_next_one_takes_over(tmp_path):
+    place = Place(tmp_path, await FakeHost("a").listen())
+    old = await place.gateway()
+    caller = await place.caller()
+    before = unix_sockets(old)
+    for number in (signal.SIGKILL, signal.SIGTERM):
+        lost = await place.gateway()
+        await lost.ends(number)
+        assert (await idle_answer(caller, b"old%d" % number)) == b"ok"
+        await until(lambda: unix_sockets(old) == before)
+    new = await place.gateway()
+    assert await old.ends() == 0
+    assert (await idle_answer(caller, b"new")) == b"ok"
+    assert await new.ends() == 0
+
+
+@asyncio_test
+async def test_a_process_that_is_killed_is_succeeded_at_once_by_the_one_beside_it(tmp_path):
+    place = Place(tmp_path, await FakeHost("a").listen())
+    old = await place.gateway()
+    new = await place.gateway()
+    await old.ends(signal.SIGKILL)
+    caller = await place.caller()  # the listener was never closed
+    assert (await idle_answer(caller, b"1")) == b"ok"
+    third = await place.gateway()  # what the killed one has left in the folder is no bar
+    assert await new.ends() == 0
+    assert (await idle_answer(caller, b"2")) == b"ok"
+    assert await third.ends() == 0
+
+
+@asyncio_test
+async def test_a_process_that_stands_still_or_a_stranger_does_not_keep_a_new_one_from_serving(tmp_path):
+    place = Place(tmp_path, await FakeHost("a").listen())
+    stranger = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    with _address(place.socket) as address:
+        stranger.bind(address)
+    stranger.listen(1)  # it accepts and says nothing
+    first = await place.gateway()
+    caller = await place.caller()
+    assert (await idle_answer(caller, b"1")) == b"ok"
+    stranger.close()
+    assert await first.ends() == 0
+
+
+@asyncio_test
+async def test_packets_that_make_no_sense_are_left_out(tmp_path):
+    place = Place(tmp_path, await FakeHost("a").listen())
+    old = await place.gateway()
+    sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    with _address(place.socket) as address:
+        sock.connect(address)
+    sock.settimeout(10)
+    for packet in (
+        b"{",
+        b"[]",
+        b"[1]",
+        b'["exclusion"]',
+        b'["x"]',
+        b"\xff",
+        b'["exclusion",1,true]',
+        b"[" * 5000,
+    ):
+        sock.send(packet)
+    kinds = []
+    while "greeted" not in kinds:
+        packet, fds, _, _ = socket.recv_fds(sock, 65536, 4)
+        for fd in fds:
+            os.close(fd)
+        kinds.append(json.loads(packet)[0])
+    assert kinds[0] == "sockets"
+    sock.close()
+    caller = await place.caller()
+    assert (await idle_answer(caller, b"1")) == b"ok"
+    assert old.process.returncode is None
+    assert await old.ends() == 0
--- /dev/null
+++ b/tests/orchidlane/test_handover.py
@@ -0,0 +1,138 @@
+"""What one process hands to the next: nothing is granted twice, what is out stays out, odd rows do no harm."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+
+import pytest
+from conftest import SECOND, SETTINGS, T0, Bench, entry, listed, of
+
+from orchidlane import handover
+from orchidlane import interface as api
+
+CEILED = 2
+
+
+def heir(old: Bench, servers=4) -> Bench:
+    """A successor that has got all rows, through JSON as on the wire."""
+    new = Bench(servers=servers, now=old.now, seed=2)
+    for row in json.loads(json.dumps(list(handover.export(old.gateway, old.now)))):
+        handover.adopt(new.gateway, new.now, row)
+    return new
+
+
+def served(bench: Bench, requests: range, **more) -> int:
+    """How many of these are sent on; each is answered at once."""
+    count = 0
+    for number in requests:
+        for send in of(bench.ask(number, **more), api.Send):
+            bench.outcome(number, send.server, api.Outcome.SERVED)
+            count += 1
+    return count
+
+
+def test_a_quota_that_is_spent_stays_spent(bench):
+    spent = served(bench, range(1, 30), size=1)
+    assert 1 <= spent <= 10
+    new = heir(bench)
+    assert served(new, range(1, 30), size=1) == 0
+    new.run(4 * SECOND)  # two units a second, open again at 60% of ten
+    assert 1 <= served(new, range(30, 60), size=1) <= 8
+
+
+def test_a_ceiling_starts_where_it_stood():
+    bench = Bench()
+    served(bench, range(1, 40), plan=CEILED, size=1)
+    bench.run(SECOND)
+    bench.gateway._lift(bench.gateway.accounts[7])
+    new = heir(bench)
+    assert new.gateway.accounts[7].ceiling == bench.gateway.accounts[7].ceiling < 16
+
+
+def test_counts_go_on_under_the_same_start_so_that_peers_add_nothing_twice(bench):
+    assert served(bench, range(1, 2)) == 1
+    rank = bench.settings.rank
+    start, value = bench.gateway.accounts[7].counts[rank]
+    new = heir(bench)
+    assert served(new, range(1, 3)) == 2
+    assert new.gateway.accounts[7].counts[rank] == (start, value + 2)  # a third of the burst is its own
+    assert 7 in new.gateway.changed
+
+
+def test_the_old_one_refuses_what_it_has_not_sent_and_goes_on_with_what_it_has(bench):
+    (send,) = of(bench.ask(1), api.Send)
+    heir(bench)
+    assert of(bench.ask(2), api.Refuse)
+    assert not of(bench.feed(api.CheckArrived(3, 9, 0, 0, 1.0, 0, 3)), api.Admit)
+    again = bench.outcome(1, send.server, api.Outcome.NOT_CONNECTED)
+    assert of(again, api.Send)  # it has taken its units
+
+
+def test_what_is_out_by_hand_stays_out_and_one_put_back_stays_cold(bench):
+    bench.feed(api.ExclusionChanged(entry(0).server, "operator", True))
+    bench.feed(api.ExclusionChanged(entry(1).server, "operator", True))
+    bench.run(SECOND)
+    bench.feed(api.ExclusionChanged(entry(1).server, "operator", False))
+    back = bench.now
+    bench.run(SECOND)
+    new = heir(bench)
+    assert new.gateway.excluded == {entry(0).server: {"operator": T0}}
+    assert new.gateway.hosts[entry(1).server].entry.launched == back
+    assert [host.entry.server for host in new.gateway.cold.hosts] == [entry(1).server]
+    new.feed(listed(*(entry(n) for n in range(4))))
+    sends = [of(new.ask(n, customer=n), api.Send) for n in range(1, 40)]
+    assert entry(0).server not in {send.server for found in sends for send in found}
+
+
+def test_what_was_learnt_of_hosts_is_known(bench):
+    bench.ask(1)
+    (send,) = of(bench.log, api.Send)
+    bench.outcome(1, send.server, api.Outcome.TIMED_OUT, took=SECOND)
+    old = bench.gateway
+    new = heir(bench).gateway
+    assert new.hosts[send.server].marks(bench.now, SECOND) == old.hosts[send.server].marks(bench.now, SECOND)
+    assert (new.usual, new.learnt, new.budget) == (old.usual, old.learnt, old.budget)
+
+
+def test_attempts_out_at_the_old_one_count_under_a_limit_of_open_ones():
+    bench = Bench()
+    assert of(bench.ask(1, plan=1, size=1), api.Send)
+    assert of(bench.ask(2, plan=1, size=1), api.Send)
+    new = heir(bench)
+    assert of(new.ask(1, plan=1, size=1), api.Refuse)
+
+
+def test_an_account_that_is_known_already_is_not_overwritten(bench):
+    served(bench, range(1, 10), size=1)
+    new = Bench(now=bench.now)
+    served(new, range(1, 5), size=1)
+    known = dataclasses.replace(new.gateway.accounts[7])
+    for row in handover.export(bench.gateway, bench.now):
+        handover.adopt(new.gateway, new.now, row)
+    assert new.gateway.accounts[7] == known
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        [],
+        ["nothing"],
+        ["learnt"],
+        ["account", 1],
+        ["account", 1, [0, 99, 1], 1, 1, [], 1, 1, [], True, 0, [], 0, 0, False, False],
+        ["account", 1, [0, 0, 1], "x", 1, [], 1, 1, [], True, 0, [], 0, 0, False, False],
+        ["account", 1, [0, 0, 1], 1, 1, [[1]], 1, 1, [], True, 0, [], 0, 0, False, False],
+        ["excluded", "a", {"operator": "x"}],
+        ["excluded", "\u4e00", {"operator": 1}],
+        ["host", "a"],
+        {"account": 1},
+        "account",
+    ],
+)
+def test_an_odd_row_is_named_and_changes_no_account(row):
+    bench = Bench(gateways=SETTINGS.gateways)
+    with pytest.raises(handover.OddRow):
+        handover.adopt(bench.gateway, bench.now, row)
+    assert bench.gateway.accounts == {} == bench.gateway.excluded
+    assert served(bench, range(1, 3)) == 2
