Long values from hosts are passed on as they come, at their reader's pace

streams.py: a long value answers its request with its first bytes and follows as it comes; a slow reader holds its host back; one that breaks off closes the client's connection, so that it shows. A command may take 3 s to come (2 before).

Ruled out: long bodies (none came), rests of answers that take longer than 0.5 s (none spoilt).

--- a/saffrongw/gateway/clients.py
+++ b/saffrongw/gateway/clients.py
@@ -14,10 +14,11 @@
 from .intake import Intake
 from .listeners import Acceptor
 from .resp import CommandReader, Malformed
+from .streams import LongValue
 from .terms import Form, parse
 
 BACKLOG = 1024  # connections that the kernel holds until they are accepted
-COMMAND_WITHIN = 2.0  # seconds for a whole command, from connecting or from its first byte
+COMMAND_WITHIN = 3.0  # seconds for a whole command, from connecting or from its first byte
 IDLE_MOST = 10.0  # seconds after which a connection without a request is closed, even if there is room
 IDLE_LEAST, IDLE_PART = 0.5, 0.25  # seconds after which it is, where more than this part of all are idle
 CLOSE_WITHIN = 1.0  # seconds for a client to read what is left for it before its connection is reset
@@ -43,7 +44,7 @@
 
     def __init__(self, client: Client, number: bytes | None = None) -> None:
         self.client, self.number = client, number
-        self.reply: bytes | None = None
+        self.reply: bytes | LongValue | None = None
         self.call: Call | None = None
         self.waiting: Waiting | None = None  # until it is begun
 
@@ -64,10 +65,11 @@
             client.flushing = True
             client.clients.loop.call_soon(client.flush)
 
-    def answer(self, reply: bytes) -> None:
+    def answer(self, reply: bytes | LongValue) -> None:
         """The answer is known; it is written once those before it are."""
         self.reply, self.call = reply, None  # else they would hold each other until the collector comes by
-        self.client.clients.numbers.discard(self.number)
+        if isinstance(reply, bytes):  # a long value is open until it is written
+            self.client.clients.numbers.discard(self.number)
         self.client.flush()
 
 
@@ -78,6 +80,7 @@
         self.clients = clients
         self.begun = begun  # what another process has read of it and not taken
         self.flushing = False  # once this turn is over
+        self.long: LongValue | None = None  # being written, for the first of the slots
         self.reader = CommandReader()
         self.slots: deque[Slot] = deque()
         self.closing = False  # close once all is answered
@@ -97,11 +100,15 @@
         """Guards memory: a client that reads no answers is not read from either."""
         self.writing = False
         self._throttle()
+        if self.long:
+            self.long.hold(True)
 
     def resume_writing(self) -> None:
         """The client reads again."""
         self.writing = True
         self._throttle()
+        if self.long:
+            self.long.hold(False)
 
     def _throttle(self) -> None:
         """Read only while there is room for answers; what has been read and not taken stays one read long."""
@@ -168,7 +175,8 @@
 
     def _may_refuse(self) -> bool:
         """Under pressure what is beyond the most that may wait is taken all the same, to be refused while it is new."""
-        return self.clients.intake.pressed and len(self.slots[-1].reply or b"") < REFUSED_MOST
+        last = self.slots[-1].reply
+        return self.clients.intake.pressed and len(last if isinstance(last, bytes) else b"") < REFUSED_MOST
 
     def _request(self, terms: Terms, parts: tuple[bytes, ...]) -> None:
         """Begin a request, or let it wait for its turn, or refuse it."""
@@ -193,7 +201,7 @@
     def _refuse(self, reply: bytes, times: int) -> None:
         """So many refusals in a row share one place: a flood of them costs no objects."""
         reply *= times
-        if self.slots and (last := self.slots[-1]).reply is not None:
+        if self.slots and isinstance((last := self.slots[-1]).reply, bytes):
             last.reply += reply
         else:
             self._reply(reply)
@@ -213,14 +221,29 @@
         """Write the answers whose turn has come."""
         self.flushing = False
         slots = self.slots
-        if slots and slots[0].reply is not None:
+        while slots and self.long is None and slots[0].reply is not None:
+            if isinstance(slots[0].reply, LongValue):
+                self.long = slots[0].reply
+                self.long.attach(self)
+                continue
             replies = [slots.popleft().reply]
-            while slots and slots[0].reply is not None:
+            while slots and isinstance(slots[0].reply, bytes):
                 replies.append(slots.popleft().reply)
             self.transport.write(b"".join(replies) if len(replies) > 1 else replies[0])
         if not self.taking:
             self._take()
 
+    def long_value_ended(self, whole: bool) -> None:
+        """A long value is written. One that broke off ends the connection: else the client could not tell."""
+        self.long = None
+        self.clients.numbers.discard(self.slots.popleft().number)
+        if whole:
+            if not self.flushing:
+                self.flushing = True
+                self.clients.loop.call_soon(self.flush)
+        else:
+            self.transport.abort()
+
     def settle(self) -> None:
         """Note what the connection waits for now, or close it if it shall be closed."""
         if not self.transport.is_closing():
@@ -247,8 +270,10 @@
         self.clients.lost(self)
         slots, self.slots = self.slots, deque()
         for slot in slots:
-            if slot.reply is None:
+            if slot.reply is None or isinstance(slot.reply, LongValue):
                 self.clients.numbers.discard(slot.number)
+            if isinstance(slot.reply, LongValue):
+                slot.reply.drop()
             if slot.waiting:
                 self.clients.intake.shedder.drop(slot.waiting)
             elif slot.call:
@@ -299,7 +324,7 @@
         end = self.loop.time() + UNFINISHED_FOR
         while (
             self.driver.calls
-            or self.intake.pressed
+            or any(client.slots for client in self.open)  # a long value may still be on its way
             or self.acceptor.opening
             or (self.open and self.loop.time() < end)
         ):
--- a/saffrongw/gateway/driver.py
+++ b/saffrongw/gateway/driver.py
@@ -18,6 +18,7 @@
 
 from .config import HostList
 from .figures import Figures
+from .streams import LongValue
 
 log = logging.getLogger(__name__)
 
@@ -53,7 +54,7 @@
     event: api.RequestArrived
     parts: tuple[bytes, ...]  # command, customer, id, terms before and after the value of ``d``, perhaps body
     until: int  # clock time by which it must be answered
-    answer: Callable[[bytes], None]
+    answer: Callable[[bytes | LongValue], None]
     attempts: list[Attempt] = field(default_factory=list)
     guard: asyncio.TimerHandle | None = None
     finished: bool = False
@@ -157,10 +158,13 @@
         self,
         attempt: Attempt,
         outcome: api.Outcome,
-        value: bytes | None = None,
+        value: bytes | LongValue | None = None,
         report: tuple[float, ...] = (),
     ) -> None:
-        """What came of an attempt; the first one served answers the client before the module is told."""
+        """What came of an attempt; the first one served answers the client before the module is told.
+
+        A long value counts from its first bytes; that it can't be finished is no matter of the decisions any more.
+        """
         if attempt.ended:
             return
         attempt.ended = True
@@ -284,11 +288,14 @@
 
     # -- answers and deadlines ------------------------------------------------------------------------------
 
-    def _finish(self, call: Call, reply: bytes) -> None:
+    def _finish(self, call: Call, reply: bytes | LongValue) -> None:
         """Every final answer passes here, once for each call."""
         if not call.finished:
             self._close(call)
-            self.figures.answered(call.event.kind, reply)
+            if isinstance(reply, bytes):
+                self.figures.answered(call.event.kind, reply)
+            else:
+                reply.answers(self.figures, call.event.kind)
             call.answer(reply)
 
     def _close(self, call: Call) -> None:
--- a/saffrongw/gateway/extended.py
+++ b/saffrongw/gateway/extended.py
@@ -19,6 +19,7 @@
 from .config import HostList
 from .driver import FAILED, MS, ON_THE_WAY, Attempt, Call, Driver, Hosts, Terms, busy
 from .plug import Ending, Fail, Observer, Plugs, Refuse, Stage, StagedRequest, StageError, apply
+from .streams import LongValue
 
 log = logging.getLogger(__name__)
 
@@ -262,7 +263,7 @@
         self,
         attempt: Attempt,
         outcome: api.Outcome,
-        value: bytes | None = None,
+        value: bytes | LongValue | None = None,
         report: tuple[float, ...] = (),
     ) -> None:
         """What came of an attempt."""
@@ -270,7 +271,7 @@
             self._tell_observers("attempt_ended", attempt, outcome)
         super().attempt_ended(attempt, outcome, value, report)
 
-    def _finish(self, call: Call, reply: bytes) -> None:
+    def _finish(self, call: Call, reply: bytes | LongValue) -> None:
         if not call.finished:
-            self._tell_observers("answered", call, reply)
+            self._tell_observers("answered", call, reply if isinstance(reply, bytes) else reply.head)
         super()._finish(call, reply)
--- a/saffrongw/gateway/hosts.py
+++ b/saffrongw/gateway/hosts.py
@@ -21,6 +21,7 @@
 from .config import Address, HostList
 from .driver import Attempt, Driver
 from .resp import Answer, AnswerReader, Malformed
+from .streams import LongValue
 
 log = logging.getLogger(__name__)
 
@@ -70,6 +71,8 @@
         self.counted = False
         self.poll = select.poll()
         self.rest: asyncio.TimerHandle | None = None  # ends an answer that has begun and does not go on
+        self.long: LongValue | None = None  # on its way to a client
+        self.held = False  # nothing is read for now
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """It is up; with a high-water mark of 0 the loop says when the last byte has left."""
@@ -97,11 +100,18 @@
     def data_received(self, data: bytes) -> None:
         """The answer, or a part of it."""
         attempt = self.attempt
+        if self.long:
+            self.reader.feed(data)
+            self._pass_on()
+            return
         if attempt is None:  # an answer to nothing: what belongs to what is lost
             self.abort()
             return
         self.reader.feed(data)
         try:
+            if attempt.whole and (length := self.reader.long()):
+                self._begin_long(attempt, length)
+                return
             answer = self.reader.next()
             reply = answer and self.pool.hosts.meaning(answer)
         except Malformed as wrong:
@@ -121,6 +131,59 @@
             self.pool.rest(self)
         self.pool.hosts.driver.attempt_ended(attempt, *reply)
 
+    def _begin_long(self, attempt: Attempt, length: int) -> None:
+        """A long value begins: it answers its request now, and its bytes follow as they come."""
+        self._rested()
+        self.attempt = None
+        hosts = self.pool.hosts
+        value = self.long = LongValue(hosts.loop, self, length)
+        hosts.driver.attempt_ended(attempt, api.Outcome.SERVED, value)
+        if value.figures is None:  # nobody waits for it any more
+            value.drop()
+        else:
+            self._pass_on()
+
+    def _pass_on(self) -> None:
+        """What has come of a long value; behind it the connection is free again."""
+        value = self.long
+        if value.left and (part := self.reader.part(value.left)):
+            value.feed(part)
+        if value.left or self.long is None:
+            return
+        try:
+            ends = self.reader.end_of_long()
+            if ends is None:
+                return
+            if not ends:
+                raise Malformed("a length does not fit")
+            if not value.whole:
+                value.finish()
+            if not self.reader.rest_of_long():
+                if self.rest is None:
+                    self.rest = self.pool.hosts.loop.call_later(REST_WITHIN, self.abort)
+                return
+        except Malformed as wrong:
+            log.warning("spoilt answer of %s: %s", self.pool.server.decode(errors="replace"), wrong)
+            self.abort()
+            return
+        self._rested()
+        if len(self.reader) or self.transport.is_closing():
+            self.abort()
+        else:
+            self.long = None
+            self.pool.rest(self)
+
+    def hold(self, held: bool) -> None:
+        """Read nothing for now, or again; a long value's reader is slow."""
+        if held is not self.held and not self.transport.is_closing():
+            self.held = held
+            (self.transport.pause_reading if held else self.transport.resume_reading)()
+
+    def drop(self) -> None:
+        """Nobody wants the long value on it any more."""
+        self.long = None
+        self.abort()
+
     def quiet(self) -> bool:
         """Whether nothing has come that the loop has not shown yet: an end, or more than belongs here."""
         return not self.poll.poll(0)
@@ -142,6 +205,9 @@
         self._count_out()
         self._rested()
         self.pool.hosts.closing.discard(self)
+        value, self.long = self.long, None
+        if value:
+            value.cut()
         attempt, self.attempt = self.attempt, None
         if attempt:
             # Guards rule 2: a reset may come after the host ran it, unless the last byte never left.
@@ -151,6 +217,9 @@
     def abort(self) -> None:
         """Close at once; the attempt on it is told by whoever gave it up."""
         self.attempt = None
+        value, self.long = self.long, None
+        if value:
+            value.cut()
         self._rested()
         self._count_out()
         if not self.transport.is_closing():
--- a/saffrongw/gateway/resp.py
+++ b/saffrongw/gateway/resp.py
@@ -9,16 +9,18 @@
 import re
 from typing import NamedTuple
 
-VALUE_MOST = 64 * 1024  # bytes in one value
+VALUE_MOST = 64 * 1024  # bytes in one value that is taken whole
+LONG_MOST = 4 << 20  # bytes in one that a host gives and that is passed on as it comes
 WORD_MOST = 1024  # bytes in any other part of a command or an answer
 LINE_MOST = 512  # bytes in an error line
 WORDS_MOST = 5  # parts of a command; only the fifth holds a value
 
 _COUNT = re.compile(rb"\*([1-9])\r\n")
-_LENGTH = re.compile(rb"\$(0|[1-9][0-9]{0,4})\r\n")
-_LENGTH_OR_NULL = re.compile(rb"\$(-1|0|[1-9][0-9]{0,4})\r\n")
+_LENGTH = re.compile(rb"\$(0|[1-9][0-9]{0,6})\r\n")
+_LENGTH_OR_NULL = re.compile(rb"\$(-1|0|[1-9][0-9]{0,6})\r\n")
 _COUNT_BEGUN = re.compile(rb"(\*([1-9]\r?)?)?")
-_LENGTH_BEGUN = re.compile(rb"(\$((-|-1|0|[1-9][0-9]{0,4})\r?)?)?")
+_LENGTH_BEGUN = re.compile(rb"(\$((-|-1|0|[1-9][0-9]{0,6})\r?)?)?")
+_LONG = re.compile(rb"\*3\r\n\$([1-9][0-9]{4,6})\r\n")
 _SERVED = re.compile(rb"\*3\r\n\$(0|[1-9][0-9]{0,4})\r\n")
 _REST = re.compile(rb"\r\n\$-1\r\n\$([1-9][0-9]{0,3})\r\n([a-z0-9_=.,]{1,1000})\r\n")
 _HEADER_MOST = 10  # bytes of the longest header that these take
@@ -117,6 +119,38 @@
         self.at = rest.end()
         return Answer(None, data[head.end() : end], rest[2])
 
+    def long(self) -> int | None:
+        """How long the value is, where the next answer begins with a long one; its head is taken, and it comes next."""
+        found = _LONG.match(self.data, self.at)
+        if found is None or int(found[1]) <= VALUE_MOST:
+            return None
+        if int(found[1]) > LONG_MOST:
+            raise Malformed("a value is too long")
+        self.at = found.end()
+        return int(found[1])
+
+    def part(self, most: int) -> bytes:
+        """So many bytes of a long value, as far as they have come."""
+        data = self.data[self.at : self.at + most]
+        self.at += len(data)
+        return data
+
+    def end_of_long(self) -> bool | None:
+        """Whether what follows a long value ends it; None: it has not come yet."""
+        tail = self.data[self.at : self.at + 2]
+        return None if len(tail) < 2 and b"\r\n".startswith(tail) else tail == b"\r\n"
+
+    def rest_of_long(self) -> bool:
+        """Take all that stands behind a long value, if it is whole: its end, the figures on use and the report."""
+        at = self.at + 2
+        for _ in range(2):
+            bulk = self._bulk(at, WORD_MOST, null=True)
+            if bulk is None:
+                return False
+            at = bulk[1]
+        self.at = at
+        return True
+
     def next(self) -> Answer | None:
         """The next answer, if it is whole."""
         if (usual := self._usual()) is not None:
--- /dev/null
+++ b/tests/gateway/test_streams.py
@@ -0,0 +1,182 @@
+"""Long values from hosts: passed on whole and in order at their reader's pace, and cut so that it shows."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import socket
+
+import pytest
+from conftest import Caller, FakeHost, Rig, asyncio_test, error, until, value
+
+from saffrongw.gateway import streams
+from saffrongw.gateway.hosts import REST
+from saffrongw.gateway.resp import LONG_MOST, VALUE_MOST, AnswerReader, Malformed
+
+REPORT = b"latency_ms=9,util=0.5"
+LONG = hashlib.shake_128(b"long").digest(300_000)
+
+
+async def asked(script, *numbers: bytes, host_count=1) -> tuple[Rig, list[FakeHost], Caller]:
+    """A client that has sent these requests to a gateway whose hosts answer by ``script``."""
+    hosts = [await FakeHost(name).listen() for name in "abc"[:host_count]]
+    for host in hosts:
+        host.script = script
+    rig = Rig(*hosts)
+    caller = await rig.caller()
+    for number in numbers:
+        caller.call(number=number, wait=20_000)
+    return rig, hosts, caller
+
+
+@pytest.mark.parametrize("length", [VALUE_MOST + 1, 1_000_000, LONG_MOST])
+@asyncio_test
+async def test_a_long_value_comes_whole_and_its_connection_is_used_again(length):
+    long = hashlib.shake_128(b"%d" % length).digest(length)
+    rig, (host,), caller = await asked(lambda command: value(long, REPORT), b"1")
+    assert await caller.replied() == [long]
+    await until(lambda: rig.driver.figures.served == [1, 0, 0])
+    assert not rig.clients.numbers and not rig.driver.calls
+    await asyncio.sleep(2 * REST)
+    caller.call(number=b"2")
+    assert await caller.replied(2) == [long, long]
+    assert len(host.connections) == 1
+
+
+@asyncio_test
+async def test_pieces_of_any_size_make_the_same_value():
+    _rig, (host,), caller = await asked(lambda command: None, b"1")
+    await until(lambda: host.commands)
+    answer = value(LONG, REPORT)
+    head, tail = answer[:40], answer[-40:]
+    for piece in [bytes((b,)) for b in head] + [answer[40:-40]] + [bytes((b,)) for b in tail]:
+        host.connections[0].transport.write(piece)
+        await asyncio.sleep(0)
+    assert await caller.replied() == [LONG]
+
+
+@asyncio_test
+async def test_it_keeps_its_place_between_other_answers():
+    kept = {}
+    script = {b"long": value(LONG), b"after": value(b"3")}
+
+    def answer(command):
+        return script.get(command[2]) or kept.setdefault(command[2], None)
+
+    rig, (host,), caller = await asked(answer, b"first", b"long", b"after")
+    await until(lambda: len(host.commands) == 3)
+    await asyncio.sleep(0.05)
+    assert caller.replies == []
+    busy = next(a for call in rig.driver.calls.values() for a in call.attempts if not a.ended)
+    port = busy.link.transport.get_extra_info("sockname")[1]
+    carrier = next(c for c in host.connections if c.transport.get_extra_info("peername")[1] == port)
+    carrier.transport.write(value(b"1"))
+    assert await caller.replied(3) == [b"1", LONG, b"3"]
+
+
+@asyncio_test
+async def test_a_reader_that_is_slow_holds_its_host_back_and_nobody_else():
+    """No more is kept of it than a few reads, however long it lasts."""
+    long = bytes(LONG_MOST)
+    script = {b"slow": value(long), b"other": value(b"ok")}
+    rig, (_host,), other = await asked(lambda command: script[command[2]])
+    port = rig.clients.acceptor.listener.getsockname()[1]
+    slow = socket.socket()
+    slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    slow.connect(("127.0.0.1", port))
+    await until(lambda: len(rig.clients.open) == 2)
+    for client in rig.clients.open:  # else the kernel alone could hold all of it
+        client.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    terms = b"c=read,t=team,d=20000,units=1,spread=2,first=0"
+    slow.sendall(
+        b"*4\r\n$8\r\nCALL.GET\r\n$16\r\n0000000000000007\r\n$4\r\nslow\r\n$%d\r\n%b\r\n"
+        % (len(terms), terms)
+    )
+    await until(lambda: any(c.long for c in rig.clients.open))
+    (value_,) = [c.long for c in rig.clients.open if c.long]
+    await until(lambda: value_.source.held)
+    left = value_.left
+    other.call(number=b"other")
+    assert await other.replied() == [b"ok"]
+    assert value_.left == left > LONG_MOST // 4  # the rest is not even read
+    got = bytearray()
+    slow.setblocking(False)
+    while len(got) < LONG_MOST + len(b"$4194304\r\n\r\n"):
+        got += await rig.loop.sock_recv(slow, 65536)
+    assert bytes(got) == b"$4194304\r\n" + long + b"\r\n"
+    slow.close()
+
+
+@asyncio_test
+async def test_one_that_breaks_off_closes_its_client_and_goes_nowhere_else():
+    rig, hosts, caller = await asked(lambda command: None, b"1", host_count=2)
+    await until(lambda: any(host.commands for host in hosts))
+    (connection,) = [c for host in hosts for c in host.connections]
+    connection.transport.write(value(LONG)[:100_000])
+    await until(lambda: rig.driver.figures.attempts == 1 and any(c.long for c in rig.clients.open))
+    connection.transport.abort()
+    await until(lambda: caller.closed)
+    assert caller.replies == [] and sum(len(host.commands) for host in hosts) == 1
+    assert rig.driver.figures.failed == [1, 0, 0]
+    assert not rig.clients.numbers and not rig.driver.calls
+
+
+@asyncio_test
+async def test_a_value_that_does_not_end_where_it_should_is_cut_before_its_end():
+    rig, (_host,), caller = await asked(lambda command: value(LONG).replace(b"\r\n$-1", b"xx$-1"), b"1")
+    await until(lambda: caller.closed)
+    assert caller.replies == [] and rig.driver.figures.failed == [1, 0, 0]
+
+
+@asyncio_test
+async def test_a_client_that_leaves_ends_the_connection_to_the_host():
+    rig, (host,), caller = await asked(lambda command: value(LONG)[:200_000], b"1")
+    await until(lambda: any(c.long for c in rig.clients.open))
+    caller.transport.abort()
+    await until(lambda: not host.connections)
+    assert not rig.clients.numbers and rig.hosts.sockets == 0
+    assert rig.driver.figures.failed == [1, 0, 0]
+
+
+@asyncio_test
+async def test_what_does_not_move_is_given_up(monkeypatch):
+    monkeypatch.setattr(streams, "STALL", 0.1)
+    rig, (host,), caller = await asked(lambda command: value(LONG)[:200_000], b"1")
+    await until(lambda: caller.closed and not host.connections)
+    assert not rig.clients.numbers
+
+
+@asyncio_test
+async def test_one_that_is_too_long_is_no_answer():
+    _rig, (_host,), caller = await asked(lambda command: b"*3\r\n$%d\r\nx" % (LONG_MOST + 1), b"1")
+    assert error((await caller.replied())[0])
+    assert not caller.closed
+
+
+@asyncio_test
+async def test_one_that_comes_before_its_request_was_whole_or_after_another_answer_is_dropped():
+    _rig, (host,), caller = await asked(lambda command: value(b"ok") + value(LONG), b"1")
+    await until(lambda: caller.replies or caller.closed)
+    caller.call(number=b"2")
+    await until(lambda: not host.connections or len(caller.replies) == 2)
+    assert LONG not in caller.replies
+
+
+def test_the_reader_takes_a_long_value_in_parts():
+    reader = AnswerReader()
+    reader.feed(b"*3\r\n$70000\r\nabc")
+    assert reader.long() == 70_000
+    assert reader.part(2) + reader.part(9) == b"abc"
+    assert reader.end_of_long() is None
+    reader.feed(b"\r")
+    assert reader.end_of_long() is None
+    reader.feed(b"\n$-1\r\n")
+    assert reader.end_of_long() and not reader.rest_of_long()
+    reader.feed(b"$2\r\nab\r\n")
+    assert reader.rest_of_long() and not len(reader)
+    reader.feed(b"*3\r\n$5000000\r\n")
+    with pytest.raises(Malformed):
+        reader.long()
+    short = AnswerReader()
+    short.feed(b"*3\r\n$65536\r\n")
+    assert short.long() is None
