A new customer's part of its ceiling has filled since the gateway's start

Its part now counts from the gateway's start, since when all that it sent is known to it; an account is forgotten only with a full part. The sum over all gateways stays within the ceiling's store.

--- a/orchidlane/counts.py
+++ b/orchidlane/counts.py
@@ -40,6 +40,7 @@
         super().__init__()
         self.s, self.random, self.now, self.filled = settings, random.Random(seed), now, now
         self.rank, self.alone = settings.rank, not settings.may_tell_peers
+        self.started = now  # since when all that this gateway sent is known to it
         self.unheard = 0.0
         self.allowance = self.per_second = INTAKE_SHARE * settings.peer_intake
 
@@ -48,7 +49,8 @@
     def _account(self, customer: int, plan: int, first: int, size: int, trusted: bool) -> Account:
         account, key = self.accounts.get(customer), (plan, first, max(1, min(size, self.s.gateways)))
         if account is None:
-            account = Account(customer, key, self.s.plans[plan].burst, self.now, used=self.now)
+            # One that is new has had nothing of its ceiling here since the start: its part has filled since then.
+            account = Account(customer, key, self.s.plans[plan].burst, self.started, used=self.now)
             account.fresh = key[2] > 1 and not self.alone  # else there is nobody to tell of it
             self.accounts[customer] = account
             self.idle_queue.append(customer)
@@ -298,6 +300,7 @@
             rest = plan.burst / plan.rate * SECOND if plan.rate and (account.fresh or share < 1) else 0.0
             rest = max(rest, KEEP_IDLE if plan.ceiling_rate else 0.0)
             full = account.room >= plan.burst * share and self.now - account.used >= rest
+            full = full and account.ceiling >= plan.ceiling_burst * self._ceiling_part(account)
             if not full:
                 self.idle_queue.append(customer)
                 continue
