Patience of 0.25 of the aim; cold hosts that report idle cores get more

What is refused comes again and then counts late. A cold host got its ramp's part of a fair share however idle it said it was; now up to three times that, until it reports 0.8.

Tests: a mark of one answer (fails with its weight at 1), cold shares with and without reports, ceilings of new customers.

--- a/orchidlane/counts.py
+++ b/orchidlane/counts.py
@@ -49,7 +49,7 @@
     def _account(self, customer: int, plan: int, first: int, size: int, trusted: bool) -> Account:
         account, key = self.accounts.get(customer), (plan, first, max(1, min(size, self.s.gateways)))
         if account is None:
-            # One that is new has had nothing of its ceiling here since the start: its part has filled since then.
+            # One that is new has had nothing of its ceiling here since the start: its part fills since then.
             account = Account(customer, key, self.s.plans[plan].burst, self.started, used=self.now)
             account.fresh = key[2] > 1 and not self.alone  # else there is nobody to tell of it
             self.accounts[customer] = account
--- a/orchidlane/handover.py
+++ b/orchidlane/handover.py
@@ -33,7 +33,7 @@
 def export(gateway: Gateway, now: int) -> Iterator[Row]:
     """All rows. From the first on nothing new may be begun by this gateway."""
     gateway.handed_over = True
-    yield ["learnt", gateway.usual, gateway.learnt, gateway.budget, gateway.unheard]
+    yield ["learnt", gateway.usual, gateway.learnt, gateway.budget, gateway.unheard, gateway.started]
     yield ["heard", [[rank, at] for rank, at in gateway.heard.items()]]
     yield ["met", *_marks(gateway.met)]
     for zone, known in gateway.zones_met.items():
@@ -84,11 +84,14 @@
         raise OddRow(f"{str(row)[:80]}: {wrong!r}") from None
 
 
-def _learnt(gateway: Gateway, now: int, usual: list, learnt: list, budget: float, unheard: float) -> None:
+def _learnt(
+    gateway: Gateway, now: int, usual: list, learnt: list, budget: float, unheard: float, started: int
+) -> None:
     if len(usual) == len(learnt) == len(gateway.usual):
         gateway.usual = [float(span) for span in usual]
         gateway.learnt = [int(times) for times in learnt]
     gateway.budget, gateway.unheard = float(budget), float(unheard)
+    gateway.started = min(gateway.started, int(started))
 
 
 def _heard(gateway: Gateway, now: int, heard: list) -> None:
--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -26,13 +26,19 @@
 AVOIDED = 2.0  # faded failures in a row from which a server counts as avoided: it looks seven times slower
 CHOICES = 12  # servers compared for one request
 SPREAD = 0.1  # random part of a comparison, against herding of gateways
+
 COLD_CARE = 0.9  # of the fair share of a cold server's least capacity that is used
+COLD_USE, COLD_MORE = (
+    0.8,
+    3.0,
+)  # use of its cores that a cold server is brought to / times the fair share at most
+TOLD = 2 * SECOND  # a report that is older tells nothing
 
 # Attempts
 LEAVE, HOLD = 30 * MS, 20 * MS  # a held request ends before its time is up / between looks for a server
 HELD_MOST = 0.45  # of its time that a request waits for a server: who waits longer has no time left elsewhere
 REPEAT_BUDGET, REPEAT_MOST = 0.05, 5.0  # further attempts earned by each request, saved up: no retry storms
-SHED = 0.15  # of the aim beyond the usual time: slower, a request is refused
+SHED = 0.25  # of the aim beyond the usual time: slower, a request is refused
 SOON = 0.15  # of the aim: who is sent to come back later than that spends quota on an answer that is late
 
 
@@ -44,6 +50,8 @@
         self.usual = [START_OF_AIM * c.aim for c in settings.classes]
         self.learnt = [0] * len(settings.classes)  # answers that the usual times were learnt of
         self.budget = REPEAT_MOST
+        names = settings.report_names
+        self.util = names.index("util") if "util" in names else None
         self.handed_over = False  # a successor has the counts: no first send any more
 
     def start(self) -> list[api.Action]:
@@ -181,7 +189,10 @@
         host = cold[int(number)]
         age = max(0, self.now - host.entry.launched) / self.s.warm_within
         ramp = self.s.cold_from + (1 - self.s.cold_from) * age
-        return host if chance < COLD_CARE * ramp and self._may_send(request, host) else None
+        care = COLD_CARE * ramp  # of all that is sent, as if no more came than all servers can do
+        if self.now - host.told < TOLD:
+            care *= min(COLD_MORE, max(1.0, COLD_USE / max(0.05, host.busy)))
+        return host if chance < care and self._may_send(request, host) else None
 
     def _put_back(self, request: Request) -> Host | None:
         """Who was taken out by hand and put back is sent one request soon: the lot alone may take seconds."""
@@ -289,6 +300,8 @@
         self.met.fade(self.now, FORGET)
         if event.outcome in (Outcome.SERVED, Outcome.ERROR, Outcome.FULL):
             host.active = self.now
+        if event.report and self.util is not None:
+            host.busy, host.told = event.report[self.util], self.now
         if event.outcome in (Outcome.SERVED, Outcome.TIMED_OUT):
             # Guards against a jam of all servers, where a gateway meets each of them too seldom to learn.
             for known in (host, self.met):
--- a/orchidlane/shedding.py
+++ b/orchidlane/shedding.py
@@ -17,7 +17,7 @@
 from . import interface as api
 
 MS = 1_000
-WAIT_PART = 0.15  # of its aim that a request may wait to be begun: as long as ``SHED`` in the rules
+WAIT_PART = 0.15  # of its aim that a request may wait to be begun
 ROOM_LEAST = 256  # requests that may wait in any case: a burst is no overload
 ROOM_MOST = 4_096  # and in no case more: what waits costs memory
 FLOW_LEAST = 4  # that one customer may have waiting in any case
--- a/orchidlane/state.py
+++ b/orchidlane/state.py
@@ -79,6 +79,8 @@
     out: int = 0
     active: int = 0  # last answer, or when the first of those out was sent
     typical: float = 2.0  # load that its answer times were met under
+    busy: float = 1.0  # part of its cores in use, by its last report
+    told: int = 0  # when that came
 
     def shares(self, group: api.Group) -> int:
         """What two servers have in common that drop each other's repeats."""
--- /dev/null
+++ b/tests/orchidlane/test_choice.py
@@ -0,0 +1,100 @@
+"""Which servers get how much: marks of single answers, cold ones that report idle cores, ceilings of new customers."""
+
+from __future__ import annotations
+
+import pytest
+from conftest import SECOND, Bench, entry, listed, of
+
+from orchidlane import interface as api
+
+CEILED = 2
+WARM_WITHIN = 10 * SECOND
+
+
+def shares(bench: Bench, requests: int, report=()) -> dict[bytes, float]:
+    """The part of so many requests that each server got; each is answered at once, with a report."""
+    count: dict[bytes, int] = {}
+    for number in range(1, requests + 1):
+        (send,) = of(bench.ask(number, customer=number, size=1), api.Send)
+        count[send.server] = count.get(send.server, 0) + 1
+        ended = (number, 0, send.server, api.Outcome.SERVED, 50_000, True, 0, 0.0, report)
+        bench.feed(api.AttemptEnded(*ended))
+        bench.now += 1_000
+    return {server: times / requests for server, times in count.items()}
+
+
+def test_one_slow_answer_does_not_leave_a_server_idle():
+    bench = Bench(servers=3)
+    shares(bench, 60)
+    (send,) = of(bench.ask(1_000, customer=1_000), api.Send)
+    bench.outcome(1_000, send.server, api.Outcome.SERVED, took=400_000)
+    at_once = [of(bench.ask(2_000 + n, customer=n, size=1), api.Send)[0].server for n in range(5)]
+    assert send.server in at_once  # its own mark alone would send all five to the other two
+
+
+def cold_share(report: tuple[float, ...], names: tuple[str, ...]) -> float:
+    bench = Bench(servers=0, report_names=names, reports=api.Reports.INLINE, warm_within=WARM_WITHIN)
+    cold = entry(9, launched=bench.now)
+    bench.feed(listed(*(entry(n) for n in range(3)), cold))
+    return shares(bench, 2_000, report).get(cold.server, 0.0)
+
+
+def test_a_cold_server_that_reports_idle_cores_gets_more_but_no_more_than_its_fair_part():
+    # It starts at a quarter of its capacity; a fair part of four servers is 0.25.
+    plain = cold_share((), ())
+    assert 0.04 < plain < 0.09
+    assert plain * 1.8 < cold_share((0.2,), ("util",)) < 0.25
+    assert cold_share((0.95,), ("util",)) == pytest.approx(plain, abs=0.02)
+
+
+def test_a_report_that_is_old_tells_nothing():
+    bench = Bench(servers=0, report_names=("util",), reports=api.Reports.INLINE, warm_within=1_000 * SECOND)
+    cold = entry(9, launched=bench.now)
+    bench.feed(listed(*(entry(n) for n in range(3)), cold))
+    host = bench.gateway.hosts[cold.server]
+    host.busy, host.told = 0.05, bench.now - 3 * SECOND
+    request = shares(bench, 400)
+    assert request.get(cold.server, 0.0) < 0.09
+
+
+def ceiling_at(bench: Bench, customer: int, size: int) -> float:
+    bench.ask(customer, plan=CEILED, customer=customer, size=size)
+    return bench.gateway.accounts[customer].ceiling
+
+
+def test_a_new_customers_part_of_its_ceiling_counts_from_the_start_of_the_gateway():
+    bench = Bench()
+    assert of(bench.ask(1, plan=CEILED, customer=1, size=1), api.Refuse)  # nothing is known of before
+    bench.run(SECOND)
+    # eight a second since the start, less the one that it takes now; sixteen at most
+    assert ceiling_at(bench, 2, 1) == pytest.approx(7.0)
+    bench.run(20 * SECOND)
+    assert ceiling_at(bench, 3, 1) == pytest.approx(15.0)
+
+
+def test_what_all_gateways_grant_a_new_customer_is_within_its_ceiling():
+    """Rule 5: each met it anew after a while; together they hold no more than the store."""
+    for size in (2, 3):
+        parts = []
+        for rank in range(size):
+            bench = Bench(rank=rank, gateways=size)
+            bench.run(60 * SECOND)
+            account = bench.gateway._account(7, CEILED, 0, size, trusted=True)
+            bench.gateway._lift(account)
+            parts.append(account.ceiling)
+        assert sum(parts) == pytest.approx(16.0)
+
+
+def test_an_account_is_forgotten_only_with_its_part_of_the_ceiling_full():
+    bench = Bench()
+    bench.run(60 * SECOND)
+    (send,) = of(bench.ask(1, plan=CEILED, customer=1, size=1), api.Send)
+    bench.outcome(1, send.server, api.Outcome.SERVED)
+    account = bench.gateway.accounts[1]
+    bench.now += 30 * SECOND
+    account.ceiling, account.risen = 3.0, bench.now  # rights that it gave away just now
+    for _ in range(50):
+        bench.gateway._drop_idle()
+    assert 1 in bench.gateway.accounts
+    bench.run(60 * SECOND)
+    assert 1 not in bench.gateway.accounts
