Takeover: counts of any number, a successor lost at the last moment, a test free of chance

Read again: more rows than the queue holds were dropped silently (4,096 packets of 24 rows), the go with them; they are paced now. A successor that is lost after SIGTERM left clients' connections to be reset at the end; they are closed in order as they fall idle. The test of connections wrote an answer to all hosts' connections, other requests' too; it knows now which one it is. Tests: a successor lost after the go, 12,288 packets in order through a queue of 4,096.

--- a/saffrongw/gateway/process.py
+++ b/saffrongw/gateway/process.py
@@ -139,7 +139,7 @@
         operations.serving = True
         if inheritance:
             inheritance.serve()
-        estate = Estate(driver, hosts, clients, operations, peers)
+        estate = Estate(driver, hosts, clients, operations, peers, ACCEPT_FOR)
         estate.listen()
         gc.collect()
         gc.freeze()  # what is loaded by now stays: it need not be looked through again
--- a/saffrongw/gateway/succession.py
+++ b/saffrongw/gateway/succession.py
@@ -19,6 +19,7 @@
 
 log = logging.getLogger(__name__)
 
+AT_ONCE = 256  # packets that wait before more is said
 CHUNK = 4 * 1024  # bytes of a command in one packet, which may hold six times as many in JSON
 BEGUN_MOST = 8 << 20  # bytes of a command that was begun, over all that are still to come
 
@@ -33,9 +34,10 @@
         clients: Clients,
         operations: Operations,
         peers: Peers | None,
+        accept_for: float,
     ) -> None:
         self.driver, self.hosts, self.clients = driver, hosts, clients
-        self.operations, self.peers = operations, peers
+        self.operations, self.peers, self.accept_for = operations, peers, accept_for
         path = path_for(clients.config.listen)
         self.incumbent = Incumbent(driver.loop, path, self._greet, operations.told) if path else None
 
@@ -81,7 +83,12 @@
             self.peers.close()
         for rows in packed(handover.export(self.driver.gateway, self.driver.clock())):
             channel.tell("rows", rows)
-        channel.tell("go")
+            if len(channel.waiting) >= AT_ONCE:  # customers may be many more than the queue holds
+                await channel.sent()
+        if not channel.tell("go"):  # it was lost at the last moment: an ordinary end
+            self.driver.gateway.handed_over = False
+            await self.clients.drain(self.accept_for)
+            return
         self.hosts.hand_over(self._give_host)
         self.clients.hand_over(self._give_client)
         await self.clients.finish()
@@ -90,6 +97,7 @@
     def _give_client(self, fd: int, begun: bytes) -> bool:
         channel = self.incumbent.channel
         if channel is None or not channel.tell("client", len(begun), fds=(fd,)):
+            self.clients.draining = True  # the successor was lost: closed in order, at least
             return False
         for at in range(0, len(begun), CHUNK):
             channel.tell("begun", begun[at : at + CHUNK].decode("latin-1"))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -222,6 +222,7 @@
         self.reader.feed(data)
         while (command := self.reader.gets()) is not False:
             self.host.commands.append(command)
+            self.host.peer = self  # whose command the script answers
             reply = self.host.script(command)
             if reply == b"reset":
                 self.transport.abort()
@@ -237,6 +238,7 @@
 
     def __init__(self, name: str) -> None:
         self.name, self.commands, self.connections = name, [], []
+        self.peer: HostPeer | None = None
         self.script = lambda command: b"*3\r\n$2\r\nok\r\n$-1\r\n$21\r\nlatency_ms=9,util=0.5\r\n"
 
     async def listen(self) -> FakeHost:
--- a/tests/faults/test_takeover.py
+++ b/tests/faults/test_takeover.py
@@ -13,7 +13,7 @@
 import hiredis
 from conftest import SITE, Caller, FakeHost, asyncio_test, configured, error, until, value
 
-from saffrongw.gateway.takeover import _address
+from saffrongw.gateway.takeover import QUEUED_MOST, Channel, _address
 from standin.processes import die_with_parent, free_port
 
 
@@ -91,10 +91,17 @@
 @asyncio_test
 async def test_connections_idle_busy_and_half_read_go_on_and_none_is_refused(tmp_path):
     host = await FakeHost("a").listen()
-    host.script = lambda command: None if command[2] == b"slow" else value(command[2])
+    held = []
+
+    def script(command):
+        if command[2] != b"slow":
+            return value(command[2])
+        held.append(host.peer)
+
+    host.script = script
     place = Place(tmp_path, host)
     old = await place.gateway()
-    idle, busy, half, piped = [await place.caller() for _ in range(4)]
+    idle, busy, half = [await place.caller() for _ in range(3)]
     idle.call(number=b"first")
     assert await idle.replied() == [b"first"]
     busy.call(number=b"slow")
@@ -108,11 +115,10 @@
         )
     )
     half.transport.write(command[:-9])
-    await until(lambda: any(c[2] == b"slow" for c in host.commands))
+    await until(lambda: held)
     new = await place.gateway()
     assert (await idle_answer(idle, b"between")) == b"between"  # the old one still serves
-    piped.call(number=b"slow2")  # behind it a command that the old one will not begin
-
+    busy.call(number=b"behind")  # the old one begins it, or the new one
     stop, refused = asyncio.Event(), []
 
     async def knock() -> None:
@@ -136,12 +142,9 @@
     await until(lambda: not open_listener(old, place.port))
     half.transport.write(command[-9:])
     assert await half.replied() == [b"half"]
-    slow = next(c for c in host.connections if c.transport)  # whichever carries it: all get the answer
-    assert slow
-    for connection in list(host.connections):
-        if connection.reader.gets() is False and not busy.replies:
-            connection.transport.write(value(b"slow"))
-    await until(lambda: busy.replies)
+    assert busy.replies == [] and old.process.returncode is None
+    held[0].transport.write(value(b"slow"))
+    assert await busy.replied(2) == [b"slow", b"behind"]
     assert await asyncio.wait_for(old.process.wait(), 20) == 0
     stop.set()
     await knocking
@@ -285,3 +288,52 @@
     assert (await idle_answer(caller, b"1")) == b"ok"
     assert old.process.returncode is None
     assert await old.ends() == 0
+
+
+@asyncio_test
+async def test_a_successor_that_is_lost_after_the_go_leaves_an_ordinary_end(tmp_path):
+    place = Place(tmp_path, await FakeHost("a").listen())
+    old = await place.gateway()
+    caller = await place.caller()
+    assert (await idle_answer(caller, b"1")) == b"ok"
+    sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    with _address(place.socket) as address:
+        sock.connect(address)
+    sock.send(b'["ready"]')
+    sock.settimeout(10)
+    while json.loads(sock.recv(65536))[0] != "greeted":
+        pass
+    await until_ready_is_read(old)
+    old.process.terminate()
+    sock.close()
+    assert await asyncio.wait_for(old.process.wait(), 20) == 0
+    await until(lambda: caller.closed)
+
+
+async def until_ready_is_read(gateway: Gateway) -> None:
+    """Calls are answered in a later turn of the loop than the packet that came before them."""
+    for _ in range(3):
+        await gateway.call("GET", "health")
+
+
+@asyncio_test
+async def test_many_more_packets_than_the_queue_holds_arrive_in_order_and_a_full_queue_says_so():
+    loop = asyncio.get_running_loop()
+    got, lost = [], []
+    here, there = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    sender = Channel(loop, here, lambda *told: None, lambda: lost.append("sender"))
+    receiver = Channel(loop, there, lambda message, sockets: got.append(message[1]), lambda: lost.append(1))
+    for number in range(3 * QUEUED_MOST):
+        assert sender.tell("n", number)
+        if len(sender.waiting) >= 256:
+            await sender.sent()
+    await until(lambda: len(got) == 3 * QUEUED_MOST)
+    assert got == list(range(3 * QUEUED_MOST))
+    loop.remove_reader(there)  # it reads nothing any more
+    told = 0
+    while sender.tell("n", "x" * 1000):
+        told += 1
+    assert QUEUED_MOST <= told < 2 * QUEUED_MOST
+    receiver.close()
+    sender.close()
+    assert not sender.tell("n", 1) and lost == []
