Turned away by discovery, gateways ask again apart, within ask_within, for changes only

Cause: discovery.py _later() doubled 50 ms up to 1 s with no random part, and each try asked for the whole list; calls that are turned away cost discovery work too, so the retries alone kept it jammed. Ruled out by probe: spreading only the first call over 8 s (5 lists, then the jam), jitter up to 8 s with whole lists (1 watch), asking for changes at the same pace (1 watch), watches of 60 s (none). With waits of up to 30 s the jam ended (11 gateways watch at 11 s, 25 at 13 s), which settles that the calls turned away are the load.

Change: after a 503 the wait is drawn from 0 to ask_within (settings: each gateway's call is taken in that time), doubled to four times that, and the watch goes on from the version it knows; a registry that counts anew is asked for the whole list.

Tests: with the old waits 'InStep' fewer than 20 of 40 model gateways ever get a list.

--- a/saffrongw/gateway/discovery.py
+++ b/saffrongw/gateway/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import random
 from collections.abc import Callable
 
 import h11
@@ -18,8 +19,11 @@
 WAIT = 2.0  # seconds that a call may wait for news: a silent agent is noticed only after that
 ANSWER_WITHIN = 1.0  # seconds beyond that: a silent agent is tried anew
 BODY_MOST = 1 << 20  # bytes of one answer: some thousand hosts
-BACK_OFF, BACK_OFF_MOST = 0.05, 1.0  # seconds before connecting again, doubled with each failure
+BACK_OFF, BACK_OFF_MOST = 0.05, 1.0  # seconds: bound of the wait before connecting again, doubled each time
+ASK_WITHIN = 10.0  # seconds: that bound at least where the agent answered, but discovery has no room
+TURNED_AWAY_MOST = 4  # times that: doubled too
 CONNECT_WITHIN = 1.0
+NO_ROOM = 503  # status
 
 
 class Exchange(asyncio.Protocol):
@@ -57,6 +61,8 @@
                 elif isinstance(event, h11.EndOfMessage):
                     body, self.body = bytes(self.body), bytearray()
                     if self.status != 200:
+                        if self.status == NO_ROOM:
+                            self.watch.turned_away()
                         raise ValueError(f"discovery answered {self.status}")
                     listed = self.watch.parse(body)
                     self.http.start_next_cycle()
@@ -91,10 +97,15 @@
         told: Callable[[HostList], None],
         wait: float = WAIT,
         answer_within: float = ANSWER_WITHIN,
+        ask_within: float = ASK_WITHIN,
+        seed: int | None = None,
     ) -> None:
         self.loop, self.address, self.zones, self.told = loop, address, zones, told
-        self.wait, self.answer_within = wait, answer_within
+        self.wait, self.answer_within, self.ask_within = wait, answer_within, ask_within
+        self.room = 0.0  # seconds: bound of the wait while discovery has none
         self.back_off = BACK_OFF
+        self.random = random.Random(seed)
+        self.version: int | None = None  # of the list that was heard last
         self.news = News()
         self.exchange: Exchange | None = None
         self.silence: asyncio.TimerHandle | None = None
@@ -115,14 +126,22 @@
                 self._later()
 
     def _later(self) -> None:
-        self.again = self.loop.call_later(self.back_off, self.start)
+        """Full jitter: gateways that started together ask apart."""
+        wait = (self.room or self.back_off) * (1 - self.random.random())
         self.back_off = min(BACK_OFF_MOST, 2 * self.back_off)
+        self.again = self.loop.call_later(wait, self.start)
+
+    def turned_away(self) -> None:
+        """Discovery has no room. It takes a call of every gateway within ``ask_within``, and the calls that it turns
+        away cost it work too: all gateways asking each second would keep it too busy to answer any."""
+        most = TURNED_AWAY_MOST * self.ask_within
+        self.room = min(most, 2 * self.room) if self.room else self.ask_within
 
     def move(self, address: Address) -> None:
         """A reload names another agent: connect there at once; what the old one still says is not heard."""
         if address == self.address:
             return
-        self.address, self.back_off = address, BACK_OFF
+        self.address, self.back_off, self.room, self.version = address, BACK_OFF, 0.0, None
         old, self.exchange = self.exchange, None
         if self.silence:
             self.silence.cancel()
@@ -140,7 +159,13 @@
             exchange.transport.abort()
             return
         self.exchange = exchange
-        self._call(PATH, self.answer_within)
+        if (
+            self.room and self.version is not None
+        ):  # what changed since costs discovery less than the whole list
+            self._watch()
+        else:
+            self.version = None
+            self._call(PATH, self.answer_within)
 
     def parse(self, body: bytes) -> HostList:
         """An answer as a list; raises where it is none."""
@@ -148,14 +173,23 @@
 
     def answered(self, listed: HostList) -> None:
         """Call again at once, then pass on what was told."""
-        self.back_off = BACK_OFF
-        target = f"{PATH}?index={listed.version}&wait={int(self.wait * 1000)}"
-        self._call(target, self.wait + self.answer_within)
+        self.back_off, self.room = BACK_OFF, 0.0
+        if self.version is not None and listed.version < self.version:  # a registry that counts anew
+            self.version = None
+            self._call(PATH, self.answer_within)
+        else:
+            self.version = listed.version
+            self._watch()
         if listed.odd:
             log.warning("discovery: %d odd entries left out", listed.odd)
         if listed.whole or listed.hosts:
             self.told(self.news.sift(listed, self.loop.time()))
 
+    def _watch(self) -> None:
+        """Wait for what is newer than the version that was heard last."""
+        target = f"{PATH}?index={self.version}&wait={int(self.wait * 1000)}"
+        self._call(target, self.wait + self.answer_within)
+
     def lost(self, exchange: Exchange) -> None:
         """The connection is gone: a new one after a short while."""
         if exchange is self.exchange:
--- a/saffrongw/gateway/process.py
+++ b/saffrongw/gateway/process.py
@@ -111,7 +111,10 @@
     driver.start((inheritance and inheritance.listed) or config.known)
     for service in plugs.services if plugs else ():
         await service.start(driver)
-    watch = Watch(loop, config.discovery, config.zones, driver.listed)
+    ask_within = config.settings.ask_within / 1e6
+    watch = Watch(
+        loop, config.discovery, config.zones, driver.listed, ask_within=ask_within, seed=config.seed
+    )
     watch.start()
 
     def hang_up() -> None:
--- a/tests/gateway/test_news.py
+++ b/tests/gateway/test_news.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import heapq
 import json
 import socket
 
@@ -35,6 +36,9 @@
     def data_received(self, data: bytes) -> None:
         self.asked.append(data.split()[1].decode())
         answer = self.answers.pop(0) if self.answers else None
+        if answer == 503:
+            self.transport.write(b"HTTP/1.1 503 No Room\r\nContent-Length: 0\r\n\r\n")
+            return
         if answer is not None:
             body = answer if isinstance(answer, bytes) else json.dumps(answer).encode()
             self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
@@ -162,3 +166,88 @@
     watch.start()
     await until(lambda: told)
     assert agent.connections == 2
+
+
+@asyncio_test
+async def test_turned_away_the_watch_goes_on_from_the_version_it_knows():
+    whole = {"seq": 5, "whole": True, "hosts": [line("a")]}
+    change = {"seq": 6, "whole": False, "hosts": [line("a", health="DRAINING")]}
+    agent, _told = await watched([503, whole, 503, 503, change], ask_within=0.02)
+    await until(lambda: len(agent.asked) == 6)
+    assert [asked.partition("?index=")[2].partition("&")[0] for asked in agent.asked[:6]] == [
+        *("", "", "5", "5", "5", "6")
+    ]
+
+
+@asyncio_test
+async def test_a_registry_that_counts_anew_is_asked_for_its_whole_list():
+    whole = {"seq": 5, "whole": True, "hosts": [line("a")]}
+    agent, _ = await watched([whole, 503, {"seq": 1, "whole": False, "hosts": []}, whole], ask_within=0.02)
+    await until(lambda: len(agent.asked) == 5)
+    assert [("index" in asked) for asked in agent.asked] == [False, True, True, False, True]
+
+
+class Crowded:
+    """A discovery service on a virtual clock: so many lines a second, and what it turns away costs it too."""
+
+    LINES, CALL, HOSTS, TIMEOUT = 400.0, 40, 60, 2.0
+
+    def __init__(self) -> None:
+        self.now, self.free_at, self.calls, self.heap, self.count = 0.0, 0.0, 0, [], 0
+
+    def time(self) -> float:
+        return self.now
+
+    def call_later(self, span: float, what, *args) -> None:
+        self.count += 1
+        heapq.heappush(self.heap, (self.now + span, self.count, what, args))
+
+    def asks(self, watch: Watch) -> None:
+        self.calls += 1
+        begins = max(self.now, self.free_at)
+        ends = begins + (self.CALL + self.HOSTS) / self.LINES
+        if ends - self.now > self.TIMEOUT:
+            self.free_at = begins + self.CALL / self.LINES
+            watch.turned_away()
+            watch._later()
+        else:
+            self.free_at = ends
+            watch.heard_at = self.now
+
+    def run(self, until: float) -> None:
+        while self.heap and self.heap[0][0] < until:
+            self.now, _, what, args = heapq.heappop(self.heap)
+            what(*args)
+
+
+def crowd(kind: type[Watch], gateways: int) -> tuple[Crowded, list[Watch]]:
+    world, watches = Crowded(), []
+    for number in range(gateways):
+        watch = kind(world, ("127.0.0.1", 1), ZONES, print, seed=number)
+        watch.heard_at = None
+        watch.start = lambda watch=watch: world.asks(watch)
+        watches.append(watch)
+        watch.start()
+    world.run(60.0)
+    return world, watches
+
+
+class InStep(Watch):
+    """As it was: all gateways again each second at the latest, and none of them by chance."""
+
+    def turned_away(self) -> None:
+        self.random = None
+
+    def _later(self) -> None:
+        self.again = self.loop.call_later(self.back_off, self.start)
+        self.back_off = min(1.0, 2 * self.back_off)
+
+
+def test_forty_gateways_that_start_at_once_all_get_their_list_from_a_crowded_discovery():
+    """In step each second, they keep it busy with turning them away, and few ever hear anything."""
+    world, watches = crowd(Watch, 40)
+    assert all(watch.heard_at is not None for watch in watches)
+    assert sorted(watch.heard_at for watch in watches)[35] < 25
+    assert world.calls < 4 * 40
+    world, watches = crowd(InStep, 40)
+    assert sum(watch.heard_at is not None for watch in watches) < 20 and world.calls > 1000
