Telling whole sets of a spent quota leaves half of the messages to approvals

Cause: counts.py _hand_on: a spent customer's whole set, 20 to 40 gateways here, is told again each quarter of its burst, with whatever messages there are; approvals and what is asked of keepers wait in _push for what is left.

Change: telling a set stops where half of a second's messages are left. The new test fails without it (seen).

--- a/orchidlane/counts.py
+++ b/orchidlane/counts.py
@@ -26,6 +26,7 @@
 CLOSE, REOPEN = 0.25, 0.6  # of the burst: with less room a customer is refused, until so much is back
 ANSWER_WITHIN = 200 * MS  # a keeper not heard for so long is asked to answer as soon; else the next is told
 KEEPER_STRIDE = 2_654_435_761  # spreads customers over the gateways of their sets
+SPREAD_ABOVE = 0.5  # of the messages of a second that stay for approvals and answers
 KEEPERS = 3  # gateways of a set that are tried
 HEAR = 0.1  # weight of the newest answer or silence in the part of the fleet that is unheard
 UNHEARD_LEAST = 0.25  # below it silence is what loss and restarts explain
@@ -188,7 +189,8 @@
         place = self._place(self.rank, account.first)
         step = -(-reach // FAN)
         done, part = 0, 1 + self.random.randrange(step) if reach else 0
-        while done < reach:
+        # In large sets this would take every message there is, and approvals and answers would wait for it.
+        while done < reach and self._allowed() > SPREAD_ABOVE * self.per_second:
             part = min(part, reach - done)
             self._tell(self._member(account, place + 1 + done), [self._row(account, part - 1)])
             done, part = done + part, step
--- a/tests/orchidlane/test_counts.py
+++ b/tests/orchidlane/test_counts.py
@@ -13,6 +13,7 @@
 from orchidlane import interface as api
 from orchidlane import messages
 from orchidlane.messages import Row
+from orchidlane.state import Account
 
 MS = T0 // 1_000
 TICK = MS // messages.TICK
@@ -158,6 +159,23 @@
     assert sorted(told_ranks) == list(range(1, rest))
 
 
+def test_telling_large_sets_leaves_messages_to_approvals():
+    """With 40 gateways the sets of a few spent customers would take all messages, and approvals wait for them."""
+    bench = Bench(gateways=40, peer_intake=40.0)
+    for customer in range(40):
+        row = told([(1, TICK - 9, 9.0)], room=1.0, total=9.0, size=40, customer=customer, reach=39)
+        say(bench, 1, row, keep=True)
+    spread = len(of(bench.log, api.TellPeer))
+    assert 5 < spread < 20  # some of the sets hear of it: half of a second's messages
+    keeper_of_other = next(c for c in range(100, 200) if bench.gateway._keeper(account_of(bench, c)) != 0)
+    actions = bench.ask(1, customer=keeper_of_other, size=40)
+    assert of(actions, api.TellPeer)  # at once
+
+
+def account_of(bench: Bench, customer: int) -> Account:
+    return Account(customer, (0, 0, 40), 10.0, bench.now)
+
+
 def test_a_set_is_not_told_while_there_is_room():
     bench = heard()
     say(bench, 1, told([(1, TICK - 9, 2.0)], total=2.0), keep=True)
