Marks of hosts fade over the time in which a gateway meets each of them, 3 to 10 s

Change: the fade is the pace of outcomes times the number of hosts, 3 s at least, so small fleets keep 3 s, and 10 s at most. The new test wants more than half of a mark left after 6 s at 5 requests a second, and less than a fifth at 50.

--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -18,7 +18,9 @@
 BASE = 2.0  # requests a server is taken to hold besides those known: keeps first guesses level
 START_OF_AIM = 0.25  # of the aim that an idle server is first thought to need
 LEARN = 0.15  # weight of the newest answer time
-FORGET = 3 * SECOND  # after this a slow server's mark has faded to a third: gentle return
+# After this a slow server's mark has faded to a third: gentle return. A gateway that meets each server more
+# rarely remembers it until about the next time, or it would meet every bad one as if for the first.
+FORGET, FORGET_MOST = 3 * SECOND, 10 * SECOND
 SLOW_MOST = 8.0  # times the idle answer time that one answer may count for
 TELLING = 0.4  # weight of a server's own mark in the choice: a single slow answer must not leave it idle
 FAIL_WEIGHT = 3.0  # an attempt that failed makes a server look this much slower
@@ -47,6 +49,7 @@
         self.usual = [START_OF_AIM * c.aim for c in settings.classes]
         self.learnt = [0] * len(settings.classes)  # answers that the usual times were learnt of
         self.budget = REPEAT_MOST
+        self.forget, self.learnt_at, self.between = FORGET, now, 0.0  # us; between two outcomes
         names = settings.report_names
         self.util = names.index("util") if "util" in names else None
         self.handed_over = False  # a successor has the counts: no first send any more
@@ -142,7 +145,7 @@
         fleet, _ = self.met.marks(now, FORGET)
         zones, best, least = {}, None, math.inf
         for host in hosts:
-            fade = math.exp((host.seen - now) / FORGET)
+            fade = math.exp((host.seen - now) / self.forget)
             cost = usual * (fleet + (host.slow - fleet) * fade * TELLING) * (host.out + BASE) / host.typical
             if host.fails:
                 cost *= 1 + FAIL_WEIGHT * host.fails * fade
@@ -276,14 +279,14 @@
         return sum(
             server in self.excluded
             or host.entry.phase is not Phase.READY
-            or host.marks(now, FORGET)[1] >= AVOIDED
+            or host.marks(now, self.forget)[1] >= AVOIDED
             for server, host in self.hosts.items()
         )
 
     def _expected(self, host: Host, kind: int, failed: bool = True) -> float:
         """The expected answer time: what requests met there, how the load changed, how long it is quiet."""
         fleet, _ = self.met.marks(self.now, FORGET)
-        slow, fails = host.marks(self.now, FORGET, fleet)  # not met lately: like all the others
+        slow, fails = host.marks(self.now, self.forget, fleet)  # not met lately: like all the others
         time = self.usual[kind] * slow * (1 + FAIL_WEIGHT * fails * failed) * (host.out + BASE) / host.typical
         if host.out:  # guards against a stalling or dead server: it answers nobody
             time = max(time, self.now - host.active)
@@ -292,7 +295,10 @@
     def _learn(self, attempt: Attempt, kind: int, event: api.AttemptEnded) -> None:
         """Each outcome tells of its server; a mark fades unless renewed, so that traffic returns gently."""
         host, zone = attempt.host, self.zones_met[attempt.host.entry.zone]
-        host.fade(self.now, FORGET)
+        self.between += LEARN * (min(FORGET_MOST, self.now - self.learnt_at) - self.between)
+        self.learnt_at = self.now
+        self.forget = int(min(FORGET_MOST, max(FORGET, self.between * len(self.hosts))))
+        host.fade(self.now, self.forget)
         zone.fade(self.now, FORGET)
         self.met.fade(self.now, FORGET)
         if event.outcome in (Outcome.SERVED, Outcome.ERROR, Outcome.FULL):
--- a/tests/orchidlane/test_choice.py
+++ b/tests/orchidlane/test_choice.py
@@ -98,3 +98,24 @@
     assert 1 in bench.gateway.accounts
     bench.run(60 * SECOND)
     assert 1 not in bench.gateway.accounts
+
+
+def remembered(every: int) -> float:
+    """How much of a server's mark is left 6 s after it failed, with an outcome at another one each so often."""
+    bench = Bench(servers=60)
+    number, at = 1, bench.now
+    while bench.now - at < 20 * SECOND:
+        (send,) = of(bench.ask(number, customer=number), api.Send)
+        bench.now += every
+        bench.outcome(number, send.server, api.Outcome.SERVED, took=every)
+        number += 1
+    (send,) = of(bench.ask(number, customer=number), api.Send)
+    bench.outcome(number, send.server, api.Outcome.NOT_CONNECTED)
+    host, forget = bench.gateway.hosts[send.server], bench.gateway.forget
+    return host.marks(bench.now + 6 * SECOND, forget)[1] / host.marks(bench.now, forget)[1]
+
+
+def test_a_gateway_that_meets_each_server_rarely_remembers_it_longer():
+    """At 5 requests a second to 60 servers a mark that fades in 3 s is gone long before the next meeting."""
+    assert remembered(every=SECOND // 5) > 0.5
+    assert remembered(every=SECOND // 50) < 0.2  # who meets them often forgives as soon as before
