Stand-ins split by concern: model, net, play, judge, and a folder for each outside system

Changed: modules moved as they are (git mv), imports follow; two paths that were taken from a file's own place got one level more. No behaviour changed.

--- a/benchmarks/authz_cost.py
+++ b/benchmarks/authz_cost.py
@@ -16,11 +16,11 @@
 
 import uvloop
 
-from standin.authoriser import Authoriser as AuthoriserServer
-from standin.authoriser import Behaviour
-from standin.clients import ClientSide
-from standin.scenario import Authoriser, Clients, Hosts, Plan, Scenario
-from standin.world import World
+from standin.authoriser.server import Authoriser as AuthoriserServer
+from standin.authoriser.server import Behaviour
+from standin.model.scenario import Authoriser, Clients, Hosts, Plan, Scenario
+from standin.net.clients import ClientSide
+from standin.play.world import World
 
 TICKS = os.sysconf("SC_CLK_TCK")
 DAY = Scenario(
--- a/benchmarks/ledger_cost.py
+++ b/benchmarks/ledger_cost.py
@@ -16,9 +16,9 @@
 
 from saffrongw.ledger.entries import Event, Kind
 from saffrongw.ledger.store import Store
-from standin.record import Answered, Sent
-from standin.scenario import Class, Clients, Hosts, Plan, Scenario
-from standin.world import World
+from standin.judge.record import Answered, Sent
+from standin.model.scenario import Class, Clients, Hosts, Plan, Scenario
+from standin.play.world import World
 
 DAY = Scenario(
     "ledger-cost",
--- a/benchmarks/takeover_cost.py
+++ b/benchmarks/takeover_cost.py
@@ -22,7 +22,7 @@
 sys.path.insert(0, str(Path(__file__).parent.parent / "tests"))
 from conftest import SITE, Caller, FakeHost, configured
 
-from standin.processes import free_port
+from standin.play.processes import free_port
 
 KEPT = 20  # connections that stay
 SPAN = 1.2  # seconds between two upgrades
--- a/standin/__main__.py
+++ b/standin/__main__.py
@@ -13,9 +13,11 @@
 
 import tomlform
 
-from . import report, runs, scenario
-from .arrivals import digest, draw
-from .world import World
+from .judge import report
+from .model import scenario
+from .model.arrivals import digest, draw
+from .play import runs
+from .play.world import World
 
 FOLDER = Path("found") / "runs"
 BAR = 28
--- /dev/null
+++ b/standin/authoriser/__init__.py
@@ -0,0 +1,1 @@
+"""The authoriser that a gateway may ask."""
--- a/standin/authoriser.py
+++ b/standin/authoriser/server.py
@@ -20,8 +20,8 @@
 import h2.settings
 from envoy.service.auth.v3 import external_auth_pb2 as published
 
-from .processes import free_port
-from .relay import LOCAL, text_of
+from ..net.relay import LOCAL, text_of
+from ..play.processes import free_port
 
 PATH = "/envoy.service.auth.v3.Authorization/Check"
 MODES = (
--- /dev/null
+++ b/standin/judge/__init__.py
@@ -0,0 +1,1 @@
+"""What was seen, and what the rules say of it."""
--- a/standin/checker.py
+++ b/standin/judge/checker.py
@@ -15,7 +15,8 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
-from . import arrivals as drawn
+from ..model import arrivals as drawn
+from ..model.scenario import Plan, Scenario, slack
 from .record import (
     Answered,
     Attempt,
@@ -32,7 +33,6 @@
     Told,
     Turned,
 )
-from .scenario import Plan, Scenario, slack
 
 SECOND = 1_000_000
 ON_SOCKETS = 50_000  # us by which each limit of the rules is longer on sockets
--- a/standin/scenario.py
+++ b/standin/model/scenario.py
@@ -9,7 +9,7 @@
 import tomlform
 from tomlform import key
 
-FOLDER = Path(__file__).parent / "scenarios"
+FOLDER = Path(__file__).parent.parent / "scenarios"
 Span = tuple[float, float]
 
 FAULTS = {
--- a/standin/clients.py
+++ b/standin/net/clients.py
@@ -7,9 +7,9 @@
 
 import hiredis
 
-from .arrivals import Arrival, Try
-from .record import Answered, Closed, Extra, Log, Sent, Unreached
-from .scenario import Scenario
+from ..judge.record import Answered, Closed, Extra, Log, Sent, Unreached
+from ..model.arrivals import Arrival, Try
+from ..model.scenario import Scenario
 
 GRACE = 400_000  # us past its deadline for which a client goes on looking for an answer
 CONNECT_WITHIN = 1.0
--- a/standin/discovery.py
+++ b/standin/net/discovery.py
@@ -9,7 +9,7 @@
 
 import h11
 
-from .registry import Agent, Line
+from ..model.registry import Agent, Line
 from .relay import LOCAL
 
 PATH = "/registry/instances"
--- a/standin/hosts.py
+++ b/standin/net/hosts.py
@@ -10,10 +10,10 @@
 
 import hiredis
 
-from .host_model import HostModel, Job, Rack, Took
-from .record import Attempt, Effect, HostEvent, Log, Made, Turned
+from ..judge.record import Attempt, Effect, HostEvent, Log, Made, Turned
+from ..model.host_model import HostModel, Job, Rack, Took
+from ..model.scenario import Class, Scenario
 from .relay import LOCAL, Session, TcpRelay, reset, text_of
-from .scenario import Class, Scenario
 
 _TERMS = {"c", "t", "d", "units", "spread", "first"}
 _CUSTOMER = re.compile(rb"[0-9a-f]{16}")
--- a/standin/processes.py
+++ b/standin/play/processes.py
@@ -17,10 +17,10 @@
 from pathlib import Path
 from typing import Any
 
-from .record import GatewayEvent, Log, Starved
-from .relay import LOCAL, text_of
+from ..judge.record import GatewayEvent, Log, Starved
+from ..net.relay import LOCAL, text_of
 
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parent.parent.parent
 READY_WITHIN = 20.0
 EXIT_WITHIN = 5.0  # seconds after SIGTERM until SIGKILL
 LOOK = 0.1  # seconds between two looks at how long gateways waited for a core
--- a/standin/runs.py
+++ b/standin/play/runs.py
@@ -12,9 +12,9 @@
 
 import uvloop
 
-from .checker import Verdict, judge
-from .record import Log
-from .scenario import FOLDER, Scenario
+from ..judge.checker import Verdict, judge
+from ..judge.record import Log
+from ..model.scenario import FOLDER, Scenario
 from .world import Progress, play
 
 TRIES = 3  # of a run that is inconclusive
@@ -60,7 +60,7 @@
 
 def names(only_ci: bool = False) -> list[str]:
     """The scenarios of the repository, the longest first."""
-    from .scenario import load
+    from ..model.scenario import load
 
     found = [load(path) for path in FOLDER.glob("*.toml")]
     found.sort(key=lambda s: (-s.length_s, s.name))
--- a/standin/world.py
+++ b/standin/play/world.py
@@ -12,17 +12,17 @@
 from pathlib import Path
 from typing import Any
 
-from . import arrivals as drawn
-from .clients import ClientSide
-from .clock import Clock, Heartbeat
-from .discovery import AgentServer
-from .hosts import Fleet, StandinHost
+from ..judge.record import Began, Finished, Late, Log, Told
+from ..judge.record import Fault as FaultBegan
+from ..model import arrivals as drawn
+from ..model.clock import Clock, Heartbeat
+from ..model.registry import Agent, Change, Line, Registry
+from ..model.scenario import Fault, Scenario, operator_text, settings_of
+from ..net.clients import ClientSide
+from ..net.discovery import AgentServer
+from ..net.hosts import Fleet, StandinHost
+from ..net.relay import TcpFault, UdpRelay, Way, text_of
 from .processes import GatewayProcess, run_line, watch
-from .record import Began, Finished, Late, Log, Told
-from .record import Fault as FaultBegan
-from .registry import Agent, Change, Line, Registry
-from .relay import TcpFault, UdpRelay, Way, text_of
-from .scenario import Fault, Scenario, operator_text, settings_of
 
 REFUSE = TcpFault("refuse")
 NOTICED_DEAD = 1.0  # seconds until the registry sees that a process has gone, before its news travel
@@ -97,7 +97,12 @@
         await asyncio.gather(*(self._start_gateway(g) for g in self.gateways))
 
     async def _open_authorisers(self) -> None:
-        from .authoriser import Authoriser, Behaviour, allow, deny  # only here: it needs libraries of its own
+        from ..authoriser.server import (  # only here: it needs libraries of its own
+            Authoriser,
+            Behaviour,
+            allow,
+            deny,
+        )
 
         a = self.scenario.authoriser
 
@@ -406,7 +411,7 @@
             self.publish(self.registry.put(self._line(host)))
 
     async def _authoriser_faults(self, number: int, fault: Fault) -> None:
-        from .authoriser import MODES, Behaviour
+        from ..authoriser.server import MODES, Behaviour
 
         faults = [mode for mode in MODES if mode not in ("answer", "delay")]
         chances = {mode: (fault.share or 0.3) / len(faults) for mode in faults} | {"delay": 1.0}
@@ -417,7 +422,7 @@
             one.behaviour = self.plain
 
     async def _authoriser_hangs(self, number: int, fault: Fault) -> None:
-        from .authoriser import Behaviour
+        from ..authoriser.server import Behaviour
 
         for one in self.authorisers:
             one.behaviour = Behaviour({"silent": 1.0})
--- a/tests/authz/test_attributes.py
+++ b/tests/authz/test_attributes.py
@@ -26,7 +26,7 @@
 from saffrongw.authz.checks import Kind, Reply
 from saffrongw.gateway.driver import Terms
 from saffrongw.gateway.plug import StagedRequest
-from standin.authoriser import allow, deny
+from standin.authoriser.server import allow, deny
 
 NAMES = Names(("read", "put"), ("team", "small"), (True, False))
 TERMS = Terms(7, 1, 0, 900_000, 1.0, 2, 1, True)
--- a/tests/authz/test_stage.py
+++ b/tests/authz/test_stage.py
@@ -17,7 +17,7 @@
 from saffrongw.authz.stage import AuthzStage, Rules
 from saffrongw.gateway.extended import ExtendedDriver
 from saffrongw.gateway.plug import Plugs
-from standin.authoriser import MODES, Authoriser, Behaviour, allow, deny
+from standin.authoriser.server import MODES, Authoriser, Behaviour, allow, deny
 
 NAMES = Names(("read", "put", "bill"), ("team",), (True, False, False))
 MS = 1_000
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -20,7 +20,7 @@
 from saffrongw.gateway.clients import Clients
 from saffrongw.gateway.driver import Driver
 from saffrongw.gateway.hosts import Hosts
-from standin.processes import die_with_parent, free_port
+from standin.play.processes import die_with_parent, free_port
 
 SECOND = 1_000_000
 T0 = 1_000 * SECOND  # a clock time well after any start
--- a/tests/faults/test_planted.py
+++ b/tests/faults/test_planted.py
@@ -8,8 +8,8 @@
 import pytest
 
 import tomlform
-from standin import runs
-from standin.scenario import Scenario
+from standin.model.scenario import Scenario
+from standin.play import runs
 from tests.faults.variants import VARIANTS
 
 HEAVY = """
--- a/tests/faults/test_scenarios.py
+++ b/tests/faults/test_scenarios.py
@@ -11,10 +11,10 @@
 import uvloop
 
 import tomlform
-from standin import runs
-from standin.checker import judge
-from standin.scenario import Scenario, load, named
-from standin.world import World
+from standin.judge.checker import judge
+from standin.model.scenario import Scenario, load, named
+from standin.play import runs
+from standin.play.world import World
 
 
 @pytest.mark.parametrize("name", runs.names(only_ci=True))
--- a/tests/faults/test_takeover.py
+++ b/tests/faults/test_takeover.py
@@ -14,7 +14,7 @@
 from conftest import SITE, Caller, FakeHost, asyncio_test, configured, error, until, value
 
 from saffrongw.gateway.takeover import QUEUED_MOST, Channel, address_of
-from standin.processes import die_with_parent, free_port
+from standin.play.processes import die_with_parent, free_port
 
 
 class Gateway:
--- a/tests/ledger/test_kills.py
+++ b/tests/ledger/test_kills.py
@@ -19,9 +19,9 @@
 
 from saffrongw.ledger.entries import Entry, Meaning
 from saffrongw.ledger.store import Reader, Store
-from standin.record import Attempt, Effect, Sent
-from standin.scenario import Class, Clients, Hosts, Plan, Scenario
-from standin.world import World
+from standin.judge.record import Attempt, Effect, Sent
+from standin.model.scenario import Class, Clients, Hosts, Plan, Scenario
+from standin.play.world import World
 from tests.ledger.killers import STEPS
 
 DAY = Scenario(
--- a/tests/standin/test_checker.py
+++ b/tests/standin/test_checker.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from standin.checker import ON_SOCKETS, judge
-from standin.record import (
+from standin.judge.checker import ON_SOCKETS, judge
+from standin.judge.record import (
     Answered,
     Attempt,
     Began,
@@ -23,7 +23,7 @@
     Told,
     Turned,
 )
-from standin.scenario import Hosts, Plan, Scenario, slack
+from standin.model.scenario import Hosts, Plan, Scenario, slack
 
 MS, S = 1_000, 1_000_000
 # Customer 1 is on free, customer 2 on bound.
--- a/tests/standin/test_hosts.py
+++ b/tests/standin/test_hosts.py
@@ -11,12 +11,7 @@
 from conftest import Caller, asyncio_test, until
 
 from standin import __main__ as cli
-from standin.arrivals import Arrival, Customer, Try
-from standin.clients import ClientSide
-from standin.clock import Clock
-from standin.discovery import AgentServer
-from standin.hosts import SPOILS, Fleet
-from standin.record import (
+from standin.judge.record import (
     Answered,
     Attempt,
     Closed,
@@ -29,9 +24,14 @@
     Turned,
     Unreached,
 )
-from standin.registry import Agent, Change, Line
-from standin.relay import TcpFault
-from standin.scenario import Class, Clients, Hosts, Plan, Scenario
+from standin.model.arrivals import Arrival, Customer, Try
+from standin.model.clock import Clock
+from standin.model.registry import Agent, Change, Line
+from standin.model.scenario import Class, Clients, Hosts, Plan, Scenario
+from standin.net.clients import ClientSide
+from standin.net.discovery import AgentServer
+from standin.net.hosts import SPOILS, Fleet
+from standin.net.relay import TcpFault
 
 FAST = Scenario(
     "fast",
@@ -373,9 +373,9 @@
 
 
 def test_the_report_is_a_table_json_and_a_page_that_needs_no_network(tmp_path):
-    from standin import report
-    from standin.checker import judge
-    from standin.record import Began, Fault, Finished
+    from standin.judge import report
+    from standin.judge.checker import judge
+    from standin.judge.record import Began, Fault, Finished
 
     day = Scenario("page", about="<b>", plan=FAST.plan, cls=FAST.cls, length_s=2)
     log = Log(
--- a/tests/standin/test_models.py
+++ b/tests/standin/test_models.py
@@ -10,11 +10,12 @@
 from hypothesis import strategies as st
 
 import tomlform
-from standin import runs, scenario
-from standin.arrivals import customers_of, digest, draw
-from standin.host_model import HostModel, Job, Rack, Took
-from standin.registry import Agent, Change, Line, Registry
-from standin.scenario import FAULTS, Fault, Hosts, Plan, Scenario, settings_of
+from standin.model import scenario
+from standin.model.arrivals import customers_of, digest, draw
+from standin.model.host_model import HostModel, Job, Rack, Took
+from standin.model.registry import Agent, Change, Line, Registry
+from standin.model.scenario import FAULTS, Fault, Hosts, Plan, Scenario, settings_of
+from standin.play import runs
 
 S, MS = 1_000_000, 1_000
 FIGURES = Hosts(
