Other ways in for clients beside the plain listener, and figures of what is plugged in

Need: a TLS listener has to share the limit on clients' descriptors, the drain and the takeover with the plain one.

Changed: Plugs carries fronts (accepted and not yet open connections count against the clients' limit, closed with the plain listener) and figures, which GET /admin/stats shows behind the gateway's own. A connection over TLS can't go to a successor, so there it ends once it is idle. Without an operator file nothing of it runs but an empty tuple in the count of connections.

--- a/saffrongw/gateway/clients.py
+++ b/saffrongw/gateway/clients.py
@@ -6,6 +6,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from typing import Protocol
 
 from orchidlane.shedding import Waiting
 
@@ -37,6 +38,20 @@
     return words[0][2:] + b"," + words[1] if len(words) > 2 and words[0].startswith(b"c=") else b""
 
 
+class Front(Protocol):
+    """Another way in for clients beside the plain listener; it makes a ``Client`` of each that it lets through."""
+
+    @property
+    def opening(self) -> int:
+        """Connections that are accepted and not yet open."""
+
+    async def open(self, clients: Clients) -> None:
+        """Serve from now on."""
+
+    def close(self) -> None:
+        """Accept no more."""
+
+
 class Slot:
     """The place of one command's answer on its connection."""
 
@@ -249,15 +264,22 @@
         if not self.transport.is_closing():
             if self.clients.heir and not self.slots and not self.closing and self._hand_over():
                 return
-            if not self.slots and (self.closing or (self.clients.draining and not len(self.reader))):
+            if not self.slots and (self.closing or (self._draining() and not len(self.reader))):
                 self.clients.ending.pop(self, None)  # from now on it may take its time to read
                 self.transport.close()
             self.clients.note(self)
 
+    def _draining(self) -> bool:
+        """Whether the connection ends once it is idle: the gateway drains, or a successor can't take it."""
+        clients = self.clients
+        return clients.draining or (
+            clients.heir is not None and self.transport.get_extra_info("sslcontext") is not None
+        )
+
     def _hand_over(self) -> bool:
         """Give the connection to the successor, with what was read of its next command."""
-        if self.transport.get_write_buffer_size():
-            return False
+        if self.transport.get_write_buffer_size() or self.transport.get_extra_info("sslcontext"):
+            return False  # what TLS knows of a connection can't leave this process: it ends here
         left = self.reader.data[self.reader.at :]
         if not self.clients.heir(self.transport.get_extra_info("socket").fileno(), left):
             return False
@@ -294,18 +316,25 @@
         self.numbers: set[bytes] = set()  # ids of open requests
         self.draining = False
         self.acceptor: Acceptor | None = None
+        self.fronts: tuple[Front, ...] = ()  # other ways in
         self.heir: Callable[[int, bytes], bool] | None = None  # who gets connections that fall idle
 
     async def listen(self, listener: socket.socket | None = None) -> None:
         """Serve from now on, on a socket that listens already if there is one; others may listen beside it."""
         listener = listener or socket.create_server(self.config.listen, backlog=BACKLOG, reuse_port=True)
-        self.acceptor = Acceptor(self.loop, listener, self._make_room, lambda: Client(self))
+        self.acceptor = Acceptor(self.loop, listener, self.make_room, lambda: Client(self))
         self.acceptor.start()
         self._sweep()
 
+    async def open_fronts(self, fronts: tuple[Front, ...]) -> None:
+        """Serve by these as well."""
+        self.fronts = fronts
+        for front in fronts:
+            await front.open(self)
+
     def adopt(self, sock: socket.socket, begun: bytes) -> None:
         """Serve a connection that another process has accepted, and what it had read of the next command."""
-        if self._make_room():
+        if self.make_room():
             self.acceptor.adopt(sock, Client(self, begun))
         else:
             sock.close()
@@ -313,7 +342,7 @@
     def hand_over(self, heir: Callable[[int, bytes], bool]) -> None:
         """Begin nothing more; connections go to the successor as they fall idle, what waits is refused."""
         self.heir = heir
-        self.acceptor.close()
+        self._close_listeners()
         self.intake.refuse_all()
         for client in list(self.open):
             client._throttle()
@@ -325,7 +354,7 @@
         while (
             self.driver.calls
             or any(client.slots for client in self.open)  # a long value may still be on its way
-            or self.acceptor.opening
+            or self.opening
             or (self.open and self.loop.time() < end)
         ):
             for client in list(self.open):
@@ -343,9 +372,14 @@
         """Requests taken and not yet answered."""
         return len(self.numbers)
 
-    def _make_room(self) -> bool:
+    @property
+    def opening(self) -> int:
+        """Connections that are accepted and not yet open, by every way in."""
+        return self.acceptor.opening + sum(front.opening for front in self.fronts)
+
+    def make_room(self) -> bool:
         """Beyond the limit one that has sent nothing whole makes room, or the one that is idle longest."""
-        if len(self.open) + self.acceptor.opening < self.most:
+        if len(self.open) + self.opening < self.most:
             return True
         victim = next(iter(self.waiting), None) or next(iter(self.idle), None)
         if victim is None:
@@ -420,9 +454,14 @@
         """Close connections as they fall idle, go on accepting for a while, then finish what is held."""
         self.quiesce()
         await asyncio.sleep(accept_for)
-        self.acceptor.close()
+        self._close_listeners()
         await self.finish()
 
+    def _close_listeners(self) -> None:
+        self.acceptor.close()
+        for front in self.fronts:
+            front.close()
+
 
 def _older(group: dict[Client, float], than: float) -> list[Client]:
     """Those in a group since before a time; the longest stand first."""
--- a/saffrongw/gateway/operations.py
+++ b/saffrongw/gateway/operations.py
@@ -22,6 +22,7 @@
     def __init__(self, driver: Driver, clients: Clients, config: Config) -> None:
         self.driver, self.clients, self.config = driver, clients, config
         self.serving = False
+        self.more: tuple[Callable[[], list[tuple[str, int]]], ...] = ()  # figures of what is plugged in
         self.tell: Callable[..., object] = lambda *message: None  # the other process of an upgrade
 
     def able(self) -> bool:
@@ -37,6 +38,8 @@
             len(gateway.hosts),
             gateway.avoided(driver.clock()),
         )
+        for part in self.more:
+            lines += part()
         return text(lines)
 
     def cordon(self, server: api.Server) -> str | None:
--- a/saffrongw/gateway/plug.py
+++ b/saffrongw/gateway/plug.py
@@ -13,6 +13,7 @@
 
 from orchidlane import interface as api
 
+from .clients import Front
 from .driver import Attempt, Call, Driver, Terms
 
 MS = 1_000  # microseconds
@@ -39,6 +40,7 @@
 
 
 Verdict = Pass | Refuse | Fail
+Lines = Callable[[], list[tuple[str, int]]]  # names and values that operators fetch
 
 
 class Ending(Enum):
@@ -121,9 +123,11 @@
     services: tuple[Service, ...] = ()
     time_share: float = 0.4
     again: Callable[[], None] | None = None  # on SIGHUP: read the operator file anew; it raises nothing
+    fronts: tuple[Front, ...] = ()
+    figures: tuple[Lines, ...] = ()
 
     def __bool__(self) -> bool:
-        return bool(self.stages or self.observers or self.services)
+        return bool(self.stages or self.observers or self.services or self.fronts)
 
 
 def apply(verdict: Any, terms: Terms, plans: int) -> Terms | Refuse | Fail:
--- a/saffrongw/gateway/process.py
+++ b/saffrongw/gateway/process.py
@@ -126,6 +126,7 @@
     loop.add_signal_handler(signal.SIGHUP, hang_up)
     clients = Clients(driver, config, client_sockets)
     operations = Operations(driver, clients, config)
+    operations.more = plugs.figures if plugs else ()
     calls = OperatorCalls(loop, operations)
     if config.admin:
         calls.listen(config.admin)
@@ -139,6 +140,8 @@
             peers = Peers(driver, config.peers, config.settings.rank)
             await peers.listen(inheritance and inheritance.peers, config.peer_listen)
         await clients.listen(inheritance and inheritance.listener)
+        if plugs:
+            await clients.open_fronts(plugs.fronts)
         operations.serving = True
         if inheritance:
             inheritance.serve()
