--- /dev/null
+++ b/standin/authority/server.py
@@ -0,0 +1,177 @@
+"""The authority on a socket: HTTPS on loopback, and its checks, which really connect to whoever claims a name."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import ssl
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import h11
+import trustme
+from cryptography import x509
+
+from .model import Authority, Check, Reply
+
+LOCAL = "127.0.0.1"
+CHECK_WITHIN = 5.0  # seconds
+IDENTIFIER = x509.ObjectIdentifier("1.3.6.1.5.5.7.1.31")
+
+
+class AuthorityServer:
+    """``http`` and ``tls``: where names are checked, as addresses drawn in turn: several gateways have one name."""
+
+    def __init__(self, clock: Callable[[], float] = time.time, **settings) -> None:
+        self.clock, self.settings = clock, settings
+        self.root = trustme.CA()
+        self.http: list[tuple[str, int]] = []
+        self.tls: list[tuple[str, int]] = []
+        self.turn = 0
+        self.delay = 0.0  # seconds before each answer
+        self.hung = False  # connections are taken and not answered
+        self.cut = 0  # so many answers more end in their middle
+        self.server: asyncio.Server | None = None
+        self.port = 0
+        self.authority: Authority | None = None
+        self.open: set[asyncio.StreamWriter] = set()
+        self.tasks: set[asyncio.Task] = set()
+
+    async def listen(self) -> AuthorityServer:
+        """Serve; after ``away`` again on the same port."""
+        if self.server:
+            return self
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        self.root.issue_cert("localhost", LOCAL).configure_cert(context)
+        self.server = await asyncio.start_server(self._serve, LOCAL, self.port, ssl=context)
+        self.port = self.server.sockets[0].getsockname()[1]
+        if self.authority is None:
+            self.authority = Authority(f"https://{LOCAL}:{self.port}", self.clock, **self.settings)
+        return self
+
+    @property
+    def directory(self) -> str:
+        """Its URL."""
+        return f"https://{LOCAL}:{self.port}/dir"
+
+    def write_ca(self, folder: Path) -> Path:
+        """The file by which its own certificate is verified."""
+        path = folder / "authority-ca.pem"
+        self.root.cert_pem.write_to_path(str(path))
+        return path
+
+    async def away(self) -> None:
+        """Nobody listens; what it knows stays."""
+        self.server.close()
+        for writer in list(self.open):
+            writer.transport.abort()
+        self.server = None
+
+    async def close(self) -> None:
+        """The end."""
+        if self.server:
+            await self.away()
+        for task in self.tasks:
+            task.cancel()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.open.add(writer)
+        try:
+            http = h11.Connection(h11.SERVER)
+            request, body = None, b""
+            while True:
+                event = http.next_event()
+                if event is h11.NEED_DATA:
+                    http.receive_data(await reader.read(65_536))
+                elif isinstance(event, h11.Request):
+                    request = event
+                elif isinstance(event, h11.Data):
+                    body += event.data
+                elif isinstance(event, h11.EndOfMessage):
+                    break
+                else:
+                    return
+            if self.hung:
+                await asyncio.sleep(3_600)
+            if self.delay:
+                await asyncio.sleep(self.delay)
+            reply = self.authority.handle(request.method.decode(), request.target.decode(), body)
+            self._check_all()
+            out = _bytes(http, request.method, reply)
+            if self.cut > 0:
+                self.cut -= 1
+                out = out[: len(out) // 2]
+            writer.write(out)
+            await writer.drain()
+        except (OSError, h11.RemoteProtocolError):
+            pass
+        finally:
+            self.open.discard(writer)
+            writer.close()
+
+    def _check_all(self) -> None:
+        checks, self.authority.checks = self.authority.checks, []
+        for check in checks:
+            task = asyncio.get_running_loop().create_task(self._check(check))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def _check(self, check: Check) -> None:
+        try:
+            async with asyncio.timeout(CHECK_WITHIN):
+                wrong = await (self._by_http if check.type == "http-01" else self._by_tls)(check)
+        except (OSError, TimeoutError, IndexError, ValueError) as failed:
+            wrong = f"{check.name}: {failed!r}"
+        self.authority.checked(check, wrong)
+
+    def _place(self, places: list[tuple[str, int]]) -> tuple[str, int]:
+        self.turn += 1
+        return places[self.turn % len(places)] if places else (LOCAL, 1)
+
+    async def _by_http(self, check: Check) -> str:
+        """RFC 8555, 8.3."""
+        reader, writer = await asyncio.open_connection(*self._place(self.http))
+        try:
+            ask = f"GET /.well-known/acme-challenge/{check.token} HTTP/1.1\r\nHost: {check.name}\r\n\r\n"
+            writer.write(ask.encode())
+            head, _, body = (await reader.read(65_536)).partition(b"\r\n\r\n")
+            while len(body) < len(check.authorisation) and (more := await reader.read(65_536)):
+                body += more
+            if not head.startswith(b"HTTP/1.1 200"):
+                return f"{check.name}: {head[:40]!r}"
+            return "" if body.strip().decode() == check.authorisation else f"{check.name}: {body[:40]!r}"
+        finally:
+            writer.close()
+
+    async def _by_tls(self, check: Check) -> str:
+        """RFC 8737."""
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+        context.check_hostname, context.verify_mode = False, ssl.CERT_NONE
+        context.set_alpn_protocols(["acme-tls/1"])
+        place = self._place(self.tls)
+        _, writer = await asyncio.open_connection(*place, ssl=context, server_hostname=check.name)
+        try:
+            shown = writer.get_extra_info("ssl_object")
+            if shown.selected_alpn_protocol() != "acme-tls/1":
+                return f"{check.name}: no acme-tls/1"
+            leaf = x509.load_der_x509_certificate(shown.getpeercert(binary_form=True))
+            found = leaf.extensions.get_extension_for_oid(IDENTIFIER)
+            names = leaf.extensions.get_extension_for_class(x509.SubjectAlternativeName).value
+            expected = b"\x04\x20" + hashlib.sha256(check.authorisation.encode()).digest()
+            if not found.critical or found.value.value != expected:
+                return f"{check.name}: another digest"
+            if names.get_values_for_type(x509.DNSName) != [check.name]:
+                return f"{check.name}: other names"
+            return ""
+        except x509.ExtensionNotFound:
+            return f"{check.name}: no acmeIdentifier"
+        finally:
+            writer.transport.abort()
+
+
+def _bytes(http: h11.Connection, method: bytes, reply: Reply) -> bytes:
+    headers = [*reply.headers.items(), *(("link", link) for link in reply.links)]
+    headers += [("content-length", str(len(reply.body))), ("connection", "close")]
+    out = http.send(h11.Response(status_code=reply.status, headers=headers))
+    return out + (reply.body if method != b"HEAD" else b"")
