TLS for clients with certificates by ACME: obtained, renewed, and swapped under connections

New package saffrongw/certs, switched on by [certs] of the operator file; nothing of it but its table is loaded without. - Pure: hello (what a client wants, before any key is used), handshakes (places and a share of the core), lease (who of many orders), renewal (when, where, after which pause; alarms), messages, flow (RFC 8555 as generators), jose, chain, documents. - With I/O: a shared folder of plain files written whole or not at all under a lock and the lease's term, HTTPS on h11, the agent, the TLS listener (MSG_PEEK for the hello, one stable context for tickets, contexts of names swapped by one assignment), and the answer to HTTP-01.

Found by the tests on the way, and mended: a library error of a spoilt key type passed the check of a chain; an alert for an unknown name never left (the loop's TLS drops it), so it is said before the handshake; "unauthorized" at a new order is now told apart (account gone, or names not wanted) by asking for the account.

--- /dev/null
+++ b/saffrongw/certs/chain.py
@@ -0,0 +1,239 @@
+"""Whether a certificate may be put in service, and what it says of itself. Bytes in, values out; no I/O, no clock.
+
+The rules: it parses, its key is ours, it is in force now, it covers the names it was ordered for, each certificate of
+its chain signs the one before it, and none of them ends before it does by more than the chain allows to notice.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import datetime
+from itertools import pairwise
+
+from cryptography import x509
+from cryptography.exceptions import InvalidSignature
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec, rsa
+from cryptography.x509.oid import ExtendedKeyUsageOID, NameOID
+
+from .jose import b64
+
+CHAIN_MOST = 8  # certificates
+PEM_MOST = 128 * 1024  # bytes
+SKEW = 300.0  # seconds by which our clock may be behind an authority's
+
+PrivateKey = ec.EllipticCurvePrivateKey | rsa.RSAPrivateKey
+
+
+class ChainError(ValueError):
+    """It must not be put in service; the text says why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Facts:
+    """Of a certificate that may serve: its names in lower case, validity in Unix seconds, and what identifies it."""
+
+    names: tuple[str, ...]
+    start: float
+    end: float
+    serial: int
+    issuer: str
+    fingerprint: str  # SHA-256 of the certificate, hexadecimal
+    ari: str  # RFC 9773's name for it; empty where it has no key identifier of its authority
+    chain: int  # certificates, its own among them
+
+    @property
+    def life(self) -> float:
+        """Seconds from its start to its end."""
+        return self.end - self.start
+
+    def covers(self, name: str) -> bool:
+        """Whether it proves this name."""
+        return name in self.names or ("." in name and "*." + name.partition(".")[2] in self.names)
+
+
+def new_key(kind: str) -> bytes:
+    """A private key as PEM; ``kind`` is ``ecdsa-p256``, ``ecdsa-p384`` or ``rsa-2048``."""
+    key: PrivateKey
+    if kind == "rsa-2048":
+        key = rsa.generate_private_key(public_exponent=65537, key_size=2048)
+    else:
+        key = ec.generate_private_key({"ecdsa-p256": ec.SECP256R1(), "ecdsa-p384": ec.SECP384R1()}[kind])
+    return key.private_bytes(
+        serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()
+    )
+
+
+def load_key(pem: bytes) -> PrivateKey:
+    """A private key from PEM; ``ChainError``."""
+    try:
+        key = serialization.load_pem_private_key(pem, None)
+    except (ValueError, TypeError) as wrong:
+        raise ChainError(f"the key can't be read: {wrong}") from None
+    except Exception as wrong:  # the library names unknown algorithms by errors of its own
+        raise ChainError(f"the key can't be used: {wrong!r:.100}") from None
+    if not isinstance(key, ec.EllipticCurvePrivateKey | rsa.RSAPrivateKey):
+        raise ChainError("the key is neither ECDSA nor RSA")
+    return key
+
+
+def csr(pem: bytes, names: tuple[str, ...]) -> str:
+    """The signing request for these names, as ACME wants it (base64url of DER)."""
+    subject = [x509.NameAttribute(NameOID.COMMON_NAME, names[0])] if len(names[0]) <= 64 else []
+    request = (
+        x509.CertificateSigningRequestBuilder()
+        .subject_name(x509.Name(subject))
+        .add_extension(x509.SubjectAlternativeName([x509.DNSName(n) for n in names]), critical=False)
+        .sign(load_key(pem), hashes.SHA256())
+    )
+    return b64(request.public_bytes(serialization.Encoding.DER))
+
+
+def parse(pem: bytes) -> list[x509.Certificate]:
+    """The certificates of a PEM text in order; ``ChainError``."""
+    if len(pem) > PEM_MOST:
+        raise ChainError(f"longer than {PEM_MOST} bytes")
+    try:
+        found = x509.load_pem_x509_certificates(pem)
+    except ValueError as wrong:
+        raise ChainError(f"no certificates: {wrong!s:.100}") from None
+    if len(found) > CHAIN_MOST:
+        raise ChainError(f"{len(found)} certificates; {CHAIN_MOST} at most")
+    return found
+
+
+def names_of(leaf: x509.Certificate) -> tuple[str, ...]:
+    """The names that it proves."""
+    try:
+        found = leaf.extensions.get_extension_for_class(x509.SubjectAlternativeName).value
+    except (x509.ExtensionNotFound, x509.DuplicateExtension, ValueError):
+        return ()
+    return tuple(name.lower() for name in found.get_values_for_type(x509.DNSName))
+
+
+def _seconds(at: datetime) -> float:
+    return at.timestamp()
+
+
+def _ari(leaf: x509.Certificate) -> str:
+    try:
+        of = leaf.extensions.get_extension_for_class(x509.AuthorityKeyIdentifier).value.key_identifier
+    except (x509.ExtensionNotFound, ValueError):
+        return ""
+    if not of:
+        return ""
+    serial = leaf.serial_number
+    raw = serial.to_bytes(serial.bit_length() // 8 + 1, signed=True)
+    return f"{b64(of)}.{b64(raw)}"
+
+
+def issuer_names(chain: list[x509.Certificate]) -> set[str]:
+    """Common names of all issuers in a chain: by these operators choose among chains."""
+    found = set()
+    for one in chain:
+        for part in one.issuer.get_attributes_for_oid(NameOID.COMMON_NAME):
+            found.add(str(part.value))
+    return found
+
+
+def facts_of(chain: list[x509.Certificate]) -> Facts:
+    """What a parsed chain says of its first certificate; checks nothing."""
+    leaf = chain[0]
+    issuer = leaf.issuer.get_attributes_for_oid(NameOID.COMMON_NAME)
+    return Facts(
+        names_of(leaf),
+        _seconds(leaf.not_valid_before_utc),
+        _seconds(leaf.not_valid_after_utc),
+        leaf.serial_number,
+        str(issuer[0].value) if issuer else leaf.issuer.rfc4514_string(),
+        leaf.fingerprint(hashes.SHA256()).hex(),
+        _ari(leaf),
+        len(chain),
+    )
+
+
+def _public(key) -> bytes:
+    return key.public_bytes(serialization.Encoding.DER, serialization.PublicFormat.SubjectPublicKeyInfo)
+
+
+def check(pem: bytes, key: bytes, names: tuple[str, ...], now: float, any_time: bool = False) -> Facts:
+    """What may serve; ``ChainError`` says why it may not. ``now`` in Unix seconds.
+
+    ``any_time``: one that is in service stays there when it ends, or when our clock goes back before its start: a
+    clock may be wrong, and a refusal helps nobody.
+    """
+    try:
+        return _check(parse(pem), key, names, now, any_time)
+    except ChainError:
+        raise
+    except Exception as wrong:  # broken fields show only when they are read, by errors of many types
+        raise ChainError(f"it can't be read: {wrong!r:.100}") from None
+
+
+def _check(
+    chain: list[x509.Certificate], key: bytes, names: tuple[str, ...], now: float, any_time: bool
+) -> Facts:
+    found = facts_of(chain)
+    if _public(load_key(key).public_key()) != _public(chain[0].public_key()):
+        raise ChainError("it was issued for another key")
+    missing = [name for name in names if not found.covers(name)]
+    if missing:
+        raise ChainError(f"it does not cover {', '.join(missing[:3])}{' ...' if len(missing) > 3 else ''}")
+    if not found.names:
+        raise ChainError("it covers no name")
+    if found.end <= found.start:
+        raise ChainError("it ends before it begins")
+    if found.start > now + SKEW and not any_time:
+        raise ChainError("it is not valid yet")
+    if found.end <= now and not any_time:
+        raise ChainError("it has ended")
+    _check_usage(chain[0])
+    for at, (below, above) in enumerate(pairwise(chain)):
+        try:
+            below.verify_directly_issued_by(above)
+        except (ValueError, TypeError, InvalidSignature):
+            raise ChainError(f"the chain is broken: certificate {at + 1} did not sign number {at}") from None
+        if not _may_sign(above):
+            raise ChainError(f"the chain is broken: certificate {at + 1} is no authority")
+    return found
+
+
+def _check_usage(leaf: x509.Certificate) -> None:
+    if _may_sign(leaf):
+        raise ChainError("the first certificate is an authority's")
+    try:
+        uses = leaf.extensions.get_extension_for_class(x509.ExtendedKeyUsage).value
+    except x509.ExtensionNotFound:
+        return
+    if ExtendedKeyUsageOID.SERVER_AUTH not in uses:
+        raise ChainError("it is not for servers")
+
+
+def _may_sign(certificate: x509.Certificate) -> bool:
+    try:
+        return bool(certificate.extensions.get_extension_for_class(x509.BasicConstraints).value.ca)
+    except (x509.ExtensionNotFound, ValueError):
+        return False
+
+
+def proof(name: str, digest: bytes, now: datetime, until: datetime) -> tuple[bytes, bytes]:
+    """The self-signed certificate of RFC 8737 for a challenge, and its key, both PEM."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    who = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "ACME challenge")])
+    identifier = x509.UnrecognizedExtension(x509.ObjectIdentifier("1.3.6.1.5.5.7.1.31"), b"\x04\x20" + digest)
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(who)
+        .issuer_name(who)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now)
+        .not_valid_after(until)
+        .add_extension(x509.SubjectAlternativeName([x509.DNSName(name)]), critical=False)
+        .add_extension(identifier, critical=True)
+        .sign(key, hashes.SHA256())
+    )
+    private = key.private_bytes(
+        serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()
+    )
+    return certificate.public_bytes(serialization.Encoding.PEM), private
--- /dev/null
+++ b/saffrongw/certs/documents.py
@@ -0,0 +1,127 @@
+"""What is kept between the steps of an order: plain values to JSON and back, checked on the way in. No I/O.
+
+A document carries its schema; one of a later program is refused and left as it is. One that makes no sense raises
+``DocumentError``, and its certificate goes on serving: only the order it described is lost.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import asdict, dataclass, fields, replace
+from typing import Any, TypeVar
+
+from .messages import Kind, Window
+from .renewal import Failures
+
+SCHEMA = 1
+NONE = Failures()
+T = TypeVar("T")
+
+
+class DocumentError(ValueError):
+    """A document that can't be used: which, and why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Account:
+    """Our account with an authority; its key lies beside it."""
+
+    directory: str
+    url: str
+    contact: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class OrderNote:
+    """An order that was begun. Without a URL the request for it may or may not have arrived."""
+
+    directory: str
+    names: tuple[str, ...]
+    begun: float
+    url: str = ""
+    replaces: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class CertNote:
+    """All that is kept of one certificate besides itself and its keys."""
+
+    names: tuple[str, ...] = ()
+    order: OrderNote | None = None
+    failures: Failures = NONE
+    window: Window | None = None
+    wanted: bool = False
+    imported: bool = False  # by hand: never renewed by us
+
+
+def dump(value: Any) -> bytes:
+    """As JSON with its schema."""
+    return json.dumps({"schema": SCHEMA, **asdict(value)}, indent=1).encode()
+
+
+def _object(raw: bytes, where: str) -> dict[str, Any]:
+    try:
+        found = json.loads(raw)
+    except (ValueError, RecursionError):
+        raise DocumentError(f"{where}: not JSON") from None
+    if not isinstance(found, dict):
+        raise DocumentError(f"{where}: no object")
+    schema = found.pop("schema", None)
+    if schema != SCHEMA:
+        raise DocumentError(f"{where}: its schema is {schema!r:.20}, this program knows {SCHEMA}")
+    return found
+
+
+_PLAIN: Mapping[str, tuple[type, ...]] = {
+    "str": (str,),
+    "float": (int, float),
+    "int": (int,),
+    "bool": (bool,),
+}
+
+
+def _make(kind: type[T], raw: Any, where: str) -> T:
+    """A dataclass of plain fields and lists of text."""
+    if not isinstance(raw, dict):
+        raise DocumentError(f"{where}: no object")
+    values = {}
+    for field in fields(kind):  # type: ignore[arg-type]
+        if field.name not in raw:
+            continue
+        found, wanted = raw[field.name], str(field.type)
+        if wanted.startswith("tuple"):
+            if not isinstance(found, list) or not all(isinstance(one, str) for one in found):
+                raise DocumentError(f"{where}.{field.name}: no list of texts")
+            found = tuple(found)
+        elif not isinstance(found, _PLAIN[wanted]) or (wanted != "bool" and isinstance(found, bool)):
+            raise DocumentError(f"{where}.{field.name}: no {wanted}")
+        values[field.name] = found
+    try:
+        return kind(**values)
+    except TypeError as wrong:
+        raise DocumentError(f"{where}: {wrong}") from None
+
+
+def account(raw: bytes, where: str) -> Account:
+    """An account's document."""
+    return _make(Account, _object(raw, where), where)
+
+
+def cert(raw: bytes, where: str) -> CertNote:
+    """A certificate's document."""
+    found = _object(raw, where)
+    order = found.pop("order", None)
+    failures = found.pop("failures", None)
+    window = found.pop("window", None)
+    plain = {k: v for k, v in found.items() if k in ("names", "wanted", "imported")}
+    note = _make(CertNote, plain, where)
+    kept = _make(Failures, failures, f"{where}.failures") if failures is not None else Failures()
+    if kept.kind and kept.kind not in {kind.value for kind in Kind}:
+        raise DocumentError(f"{where}.failures.kind: {kept.kind!r:.40} is unknown")
+    return replace(
+        note,
+        order=_make(OrderNote, order, f"{where}.order") if order is not None else None,
+        failures=kept,
+        window=_make(Window, window, f"{where}.window") if window is not None else None,
+    )
--- /dev/null
+++ b/saffrongw/certs/http.py
@@ -0,0 +1,91 @@
+"""HTTPS to an authority: one request a connection, every length and time bounded, no redirect followed."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import ssl
+from urllib.parse import urlsplit
+
+import h11
+
+from saffrongw import __version__
+
+from .flow import Request
+from .messages import AcmeError, Answer, Kind, clean, odd
+
+WITHIN = 30.0  # seconds for one request, from connecting to the last byte
+HEAD_MOST, BODY_MOST = 32 * 1024, 512 * 1024  # bytes
+CHUNK = 64 * 1024
+_LINK = re.compile(r'<([^<>\s]{1,2048})>\s*;[^,<]*?\brel\s*=\s*"?([A-Za-z0-9\- ]{1,64})"?')
+
+
+class Https:
+    """A way to one authority. ``ca``: a file of authorities that its own certificate must come from."""
+
+    def __init__(self, ca: str = "", within: float = WITHIN) -> None:
+        self.context = ssl.create_default_context(cafile=ca or None)
+        self.within = within
+
+    async def send(self, request: Request) -> Answer:
+        """The answer; ``AcmeError`` AWAY where none came, UNUSABLE where it is none."""
+        try:
+            async with asyncio.timeout(self.within):
+                return await self._send(request)
+        except TimeoutError:
+            raise AcmeError(Kind.AWAY, f"{request.read}: no answer within {self.within:g} s") from None
+        except ssl.SSLError as wrong:
+            raise AcmeError(Kind.AWAY, f"{request.read}: {clean(wrong.reason or wrong)}") from None
+        except (OSError, EOFError) as wrong:
+            raise AcmeError(Kind.AWAY, f"{request.read}: {clean(wrong)}") from None
+        except h11.RemoteProtocolError as wrong:
+            raise odd(request.read, f"no HTTP: {clean(wrong)}") from None
+
+    async def _send(self, request: Request) -> Answer:
+        parts = urlsplit(request.url)
+        host, port = parts.hostname, parts.port or 443
+        reader, writer = await asyncio.open_connection(host, port, ssl=self.context, server_hostname=host)
+        try:
+            http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_MOST)
+            headers = [
+                ("host", parts.netloc.rpartition("@")[2]),
+                ("user-agent", f"saffrongw/{__version__}"),
+                ("accept", "*/*"),
+                ("connection", "close"),
+            ]
+            if request.body:
+                headers += [("content-type", request.type), ("content-length", str(len(request.body)))]
+            target = (parts.path or "/") + (f"?{parts.query}" if parts.query else "")
+            out = http.send(h11.Request(method=request.method, target=target, headers=headers))
+            if request.body:
+                out += http.send(h11.Data(data=request.body))
+            writer.write(out + http.send(h11.EndOfMessage()))
+            return await self._read(http, reader, request)
+        finally:
+            writer.transport.abort()
+
+    async def _read(self, http: h11.Connection, reader: asyncio.StreamReader, request: Request) -> Answer:
+        head, body = None, bytearray()
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                http.receive_data(await reader.read(CHUNK))
+            elif isinstance(event, h11.Response):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > BODY_MOST:
+                    raise odd(request.read, f"longer than {BODY_MOST} bytes")
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            elif isinstance(event, h11.ConnectionClosed):
+                raise EOFError("the connection ended within the answer")
+        fields: dict[str, str] = {}
+        links = []
+        for name, value in head.headers:
+            text = value.decode("latin-1")
+            if name == b"link":
+                links += [(relation, target) for target, relation in _LINK.findall(text)]
+            else:
+                fields.setdefault(name.decode("latin-1"), text)
+        return Answer(head.status_code, fields, bytes(body), tuple(links))
--- /dev/null
+++ b/saffrongw/certs/jose.py
@@ -0,0 +1,85 @@
+"""Signatures of RFC 8555, 6.2: flattened JWS with ``nonce`` and ``url``, by an account's key. No I/O."""
+
+from __future__ import annotations
+
+import base64
+import hashlib
+import json
+from typing import Any
+
+from joserfc import jws
+from joserfc.jwk import ECKey, OctKey
+
+REGISTRY = jws.JWSRegistry(algorithms=["ES256", "HS256"], strict_check_header=False)
+EXTERNAL_LEAST = 16  # bytes of the key that an authority gave for an external account
+
+
+def b64(data: bytes) -> str:
+    """Base64url without padding."""
+    return base64.urlsafe_b64encode(data).rstrip(b"=").decode()
+
+
+def external_key(text: str) -> bytes:
+    """The key of an external account as authorities hand it out, in base64url; ``ValueError``."""
+    text = text.strip().rstrip("=")
+    try:
+        key = base64.b64decode(text + "=" * (-len(text) % 4), altchars=b"-_", validate=True)
+    except ValueError:
+        raise ValueError("not base64url") from None
+    if len(key) < EXTERNAL_LEAST:
+        raise ValueError(f"shorter than {EXTERNAL_LEAST} bytes")
+    return key
+
+
+class AccountKey:
+    """A P-256 key that signs for an account (ES256)."""
+
+    def __init__(self, key: ECKey) -> None:
+        self.key = key
+        self.jwk: dict[str, Any] = key.as_dict(private=False)
+        self.jwk = {name: self.jwk[name] for name in ("crv", "kty", "x", "y")}
+
+    @classmethod
+    def new(cls) -> AccountKey:
+        """A fresh one."""
+        return cls(ECKey.generate_key("P-256"))
+
+    @classmethod
+    def of(cls, pem: bytes) -> AccountKey:
+        """From PEM; ``ValueError`` where it is none."""
+        try:
+            return cls(ECKey.import_key(pem))
+        except Exception as wrong:  # the library's errors have many types
+            raise ValueError(f"no key of P-256: {wrong!r:.100}") from None
+
+    @property
+    def pem(self) -> bytes:
+        """As PEM, with its private half."""
+        return self.key.as_pem(private=True)
+
+    @property
+    def thumbprint(self) -> str:
+        """RFC 7638."""
+        text = json.dumps(self.jwk, separators=(",", ":"), sort_keys=True)
+        return b64(hashlib.sha256(text.encode()).digest())
+
+    def authorise(self, token: str) -> str:
+        """The key authorisation of a challenge (RFC 8555, 8.1)."""
+        return f"{token}.{self.thumbprint}"
+
+    def sign(self, url: str, payload: Any, nonce: str | None, kid: str | None) -> dict[str, str]:
+        """A request's JWS: by the account's URL, or by the key itself. ``None`` as payload: POST-as-GET."""
+        head: dict[str, Any] = {"alg": "ES256", "url": url}
+        if nonce is not None:
+            head["nonce"] = nonce
+        head |= {"kid": kid} if kid else {"jwk": self.jwk}
+        body = b"" if payload is None else json.dumps(payload).encode()
+        return dict(jws.serialize_json({"protected": head}, body, self.key, registry=REGISTRY))
+
+    def bind(self, url: str, kid: str, key: bytes) -> dict[str, str]:
+        """The external account binding of RFC 8555, 7.3.4."""
+        head = {"alg": "HS256", "kid": kid, "url": url}
+        signed = jws.serialize_json(
+            {"protected": head}, json.dumps(self.jwk).encode(), OctKey.import_key(key), registry=REGISTRY
+        )
+        return dict(signed)
--- /dev/null
+++ b/saffrongw/certs/messages.py
@@ -0,0 +1,362 @@
+"""What an authority says, as typed values: RFC 8555's objects, RFC 7807's problems, RFC 9773's windows. No I/O.
+
+Everything is checked and bounded; what makes no sense raises ``AcmeError`` that says which field of what, and never
+anything else. Errors carry a kind, by which ``renewal.py`` chooses the pause before the next try.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from email.utils import parsedate_to_datetime
+from enum import Enum
+from typing import Any
+from urllib.parse import urlsplit
+
+URL_MOST = 2_048  # characters
+LIST_MOST = 1_000  # names, authorisations or challenges of one object
+TEXT_MOST = 300  # characters of an authority's words that are kept
+PAUSE_MOST = 30 * 86_400.0  # seconds: no authority can ask for more
+
+
+class Kind(Enum):
+    """What sort of failure it was."""
+
+    AWAY = "authority away"  # no connection, no answer in time, 5xx
+    RATE = "rate limit"
+    CHALLENGE = "challenge failed"
+    ACCOUNT = "account gone"
+    ORDER = "order lost"  # expired, invalid or not found
+    REJECTED = "rejected"  # names or key that the authority does not want
+    UNUSABLE = "unusable answer"  # makes no sense, or a certificate that must not serve
+    LOCAL = "local failure"  # our disk, our lease
+
+
+class AcmeError(Exception):
+    """A step that failed: its kind, what happened, and seconds that the authority asked to wait (0: it did not say)."""
+
+    def __init__(self, kind: Kind, detail: str, retry_after: float = 0.0) -> None:
+        super().__init__(f"{kind.value}: {detail}")
+        self.kind, self.detail, self.retry_after = kind, detail[:TEXT_MOST], retry_after
+
+
+class BadNonce(AcmeError):
+    """The nonce was used or too old: the same request again, with the next one."""
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """An answer over HTTP; names of headers in lower case. ``links``: the targets of Link headers by relation."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+    links: tuple[tuple[str, str], ...] = ()
+
+    def linked(self, relation: str) -> list[str]:
+        """All targets with this relation."""
+        return [target for name, target in self.links if name == relation]
+
+
+@dataclass(frozen=True, slots=True)
+class Directory:
+    """Where an authority does what."""
+
+    nonce: str
+    account: str
+    order: str
+    revoke: str
+    key_change: str
+    renewal: str  # empty: it offers no windows
+    external: bool  # wants an external account
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """``certificate`` is empty until the order is valid; ``error`` tells why it is invalid."""
+
+    status: str
+    names: frozenset[str]
+    authorisations: tuple[str, ...]
+    finalize: str
+    certificate: str
+    expires: float
+    error: AcmeError | None
+
+
+@dataclass(frozen=True, slots=True)
+class Challenge:
+    """One way to prove a name."""
+
+    type: str
+    url: str
+    token: str
+    status: str
+    error: AcmeError | None
+
+
+@dataclass(frozen=True, slots=True)
+class Authorisation:
+    """What has to be proved for one name, and how it can be."""
+
+    status: str
+    name: str
+    challenges: tuple[Challenge, ...]
+    wildcard: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Window:
+    """RFC 9773: between which times to renew, and when to ask again; Unix seconds."""
+
+    start: float
+    end: float
+    ask_at: float
+
+
+ORDER_STATES = ("pending", "ready", "processing", "valid", "invalid")
+AUTHORISATION_STATES = ("pending", "valid", "invalid", "deactivated", "expired", "revoked")
+CHALLENGE_STATES = ("pending", "processing", "valid", "invalid")
+
+_KINDS = {
+    "rateLimited": Kind.RATE,
+    "unauthorized": Kind.CHALLENGE,
+    "connection": Kind.CHALLENGE,
+    "dns": Kind.CHALLENGE,
+    "tls": Kind.CHALLENGE,
+    "incorrectResponse": Kind.CHALLENGE,
+    "accountDoesNotExist": Kind.ACCOUNT,
+    "externalAccountRequired": Kind.ACCOUNT,
+    "userActionRequired": Kind.ACCOUNT,
+    "invalidContact": Kind.ACCOUNT,
+    "unsupportedContact": Kind.ACCOUNT,
+    "badCSR": Kind.REJECTED,
+    "badPublicKey": Kind.REJECTED,
+    "caa": Kind.REJECTED,
+    "rejectedIdentifier": Kind.REJECTED,
+    "unsupportedIdentifier": Kind.REJECTED,
+    "malformed": Kind.ORDER,
+    "orderNotReady": Kind.ORDER,
+    "alreadyReplaced": Kind.ORDER,
+    "serverInternal": Kind.AWAY,
+}
+_ACME = "urn:ietf:params:acme:error:"
+
+
+def odd(where: str, why: str) -> AcmeError:
+    """What an authority said can't be used."""
+    return AcmeError(Kind.UNUSABLE, f"{where}: {why}")
+
+
+def clean(text: object) -> str:
+    """An authority's words as one line of bounded length that a terminal can show."""
+    return "".join(c if c.isprintable() else " " for c in str(text)[:TEXT_MOST])
+
+
+def document(answer: Answer, where: str) -> dict[str, Any]:
+    """The JSON object in an answer."""
+    try:
+        found = json.loads(answer.body)
+    except (ValueError, RecursionError):
+        raise odd(where, "not JSON") from None
+    if not isinstance(found, dict):
+        raise odd(where, "no object")
+    return found
+
+
+def url_in(raw: Mapping[str, Any], key: str, where: str, needed: bool = True) -> str:
+    """A URL of https; empty where it is missing and not needed."""
+    if key not in raw and not needed:
+        return ""
+    return url(raw.get(key), f"{where}.{key}")
+
+
+def url(found: object, where: str) -> str:
+    """The same, as a value."""
+    if not isinstance(found, str) or not 0 < len(found) <= URL_MOST or not found.isascii():
+        raise odd(where, "no URL")
+    try:
+        parts = urlsplit(found)
+        good = parts.scheme == "https" and bool(parts.hostname) and (parts.port or 443) > 0
+    except ValueError:
+        good = False
+    if not good or any(c.isspace() or not c.isprintable() for c in found):
+        raise odd(where, f"no URL of https: {clean(found)!r:.80}")
+    return found
+
+
+def _list(raw: Mapping[str, Any], key: str, where: str) -> list[Any]:
+    found = raw.get(key)
+    if not isinstance(found, list) or len(found) > LIST_MOST:
+        raise odd(f"{where}.{key}", f"no list of at most {LIST_MOST}")
+    return found
+
+
+def _state(raw: Mapping[str, Any], allowed: tuple[str, ...], where: str) -> str:
+    found = raw.get("status")
+    if found not in allowed:
+        raise odd(f"{where}.status", f"{clean(found)!r:.40} is not one of {', '.join(allowed)}")
+    return found
+
+
+def time_in(raw: Mapping[str, Any], key: str, where: str, needed: bool = False) -> float:
+    """RFC 3339 as Unix seconds; 0 where it is missing and not needed."""
+    if key not in raw and not needed:
+        return 0.0
+    found = raw.get(key)
+    try:
+        if not isinstance(found, str) or len(found) > 64:
+            raise ValueError("no text")
+        at = datetime.fromisoformat(found)
+        return (at if at.tzinfo else at.replace(tzinfo=UTC)).timestamp()
+    except (ValueError, OverflowError):
+        raise odd(f"{where}.{key}", f"no time: {clean(found)!r:.60}") from None
+
+
+def directory(answer: Answer) -> Directory:
+    """The first thing that is asked."""
+    raw, where = document(answer, "directory"), "directory"
+    meta = raw.get("meta", {})
+    if not isinstance(meta, dict):
+        raise odd("directory.meta", "no object")
+    return Directory(
+        url_in(raw, "newNonce", where),
+        url_in(raw, "newAccount", where),
+        url_in(raw, "newOrder", where),
+        url_in(raw, "revokeCert", where, False),
+        url_in(raw, "keyChange", where, False),
+        url_in(raw, "renewalInfo", where, False),
+        meta.get("externalAccountRequired") is True,
+    )
+
+
+def _name(raw: object, where: str) -> str:
+    if not isinstance(raw, dict) or raw.get("type") != "dns" or not isinstance(raw.get("value"), str):
+        raise odd(where, "no name of DNS")
+    name = raw["value"].lower()
+    if not 0 < len(name) <= 253 or not name.isascii():
+        raise odd(where, "no name of DNS")
+    return name
+
+
+def order(answer: Answer) -> Order:
+    """An order as it stands."""
+    raw, where = document(answer, "order"), "order"
+    status = _state(raw, ORDER_STATES, where)
+    places = _list(raw, "authorizations", where)
+    if not places:
+        raise odd("order.authorizations", "none")
+    return Order(
+        status,
+        frozenset(_name(one, "order.identifiers") for one in _list(raw, "identifiers", where)),
+        tuple(url(one, f"order.authorizations[{at}]") for at, one in enumerate(places)),
+        url_in(raw, "finalize", where),
+        url_in(raw, "certificate", where, needed=status == "valid"),
+        time_in(raw, "expires", where),
+        _error(raw, where),
+    )
+
+
+def authorisation(answer: Answer) -> Authorisation:
+    """What has to be proved for a name."""
+    raw, where = document(answer, "authorization"), "authorization"
+    found = []
+    for at, one in enumerate(_list(raw, "challenges", where)):
+        place = f"authorization.challenges[{at}]"
+        if not isinstance(one, dict):
+            raise odd(place, "no object")
+        if one.get("type") in ("http-01", "tls-alpn-01"):  # of others nothing is known, not even their fields
+            found.append(_challenge(one, place))
+    return Authorisation(
+        _state(raw, AUTHORISATION_STATES, where),
+        _name(raw.get("identifier"), "authorization.identifier"),
+        tuple(found),
+        raw.get("wildcard") is True,
+    )
+
+
+def _challenge(raw: Mapping[str, Any], where: str) -> Challenge:
+    token = raw.get("token")
+    if not isinstance(token, str) or not 8 <= len(token) <= 256:
+        raise odd(f"{where}.token", "no token")
+    if not all(c.isascii() and (c.isalnum() or c in "-_") for c in token):
+        raise odd(f"{where}.token", "not in the alphabet of base64url")  # it becomes the name of a file
+    status = _state(raw, CHALLENGE_STATES, where)
+    return Challenge(raw["type"], url_in(raw, "url", where), token, status, _error(raw, where))
+
+
+def _error(raw: Mapping[str, Any], where: str) -> AcmeError | None:
+    found = raw.get("error")
+    if found is None:
+        return None
+    if not isinstance(found, dict):
+        raise odd(f"{where}.error", "no object")
+    return _problem(found, 0.0)
+
+
+def _problem(raw: Mapping[str, Any], retry_after: float, status: int = 0) -> AcmeError:
+    """RFC 7807; subproblems tell which names."""
+    name = raw.get("type")
+    name = name.removeprefix(_ACME) if isinstance(name, str) else ""
+    detail = clean(raw.get("detail", "")) or "no detail"
+    below = raw.get("subproblems")
+    if isinstance(below, list):
+        for one in below[:5]:
+            if isinstance(one, dict):
+                who = one.get("identifier")
+                who = who.get("value") if isinstance(who, dict) else "?"
+                detail += f"; {clean(who)}: {clean(one.get('detail', ''))}"
+    words = f"{clean(name) or 'no type'}: {detail}"
+    if name == "badNonce":
+        return BadNonce(Kind.AWAY, words, retry_after)
+    kind = _KINDS.get(name)
+    if kind is None:
+        kind = Kind.RATE if status == 429 else Kind.AWAY if status >= 500 else Kind.REJECTED
+    return AcmeError(kind, words, retry_after)
+
+
+def problem(answer: Answer, now: float) -> AcmeError:
+    """Why a request was not carried out."""
+    after = retry_after(answer, now)
+    try:
+        raw = document(answer, "problem")
+    except AcmeError:
+        raw = {}
+    found = _problem(raw, after, answer.status)
+    if answer.status == 429 and found.kind is not Kind.RATE:
+        found = AcmeError(Kind.RATE, found.detail, after)
+    if answer.status == 404 and found.kind in (Kind.REJECTED, Kind.CHALLENGE):
+        found = AcmeError(Kind.ORDER, f"not found: {found.detail}", after)
+    return found
+
+
+def retry_after(answer: Answer, now: float) -> float:
+    """Seconds that the authority asks to wait; 0 where it does not say, or says what is no time."""
+    raw = answer.headers.get("retry-after", "").strip()
+    if not raw:
+        return 0.0
+    if raw.isascii() and raw.isdigit():
+        return min(float(raw[:12]), PAUSE_MOST)
+    try:
+        at = parsedate_to_datetime(raw)
+        at = at if at.tzinfo else at.replace(tzinfo=UTC)
+        return min(max(0.0, at.timestamp() - now), PAUSE_MOST)
+    except (ValueError, TypeError, OverflowError, IndexError):
+        return 0.0
+
+
+def window(answer: Answer, now: float) -> Window:
+    """When to renew, in the authority's view."""
+    raw = document(answer, "renewalInfo")
+    found = raw.get("suggestedWindow")
+    if not isinstance(found, dict):
+        raise odd("renewalInfo.suggestedWindow", "no object")
+    start = time_in(found, "start", "renewalInfo.suggestedWindow", True)
+    end = time_in(found, "end", "renewalInfo.suggestedWindow", True)
+    if end <= start:
+        raise odd("renewalInfo.suggestedWindow", "ends before it begins")
+    # RFC 9773, 4.3: within sensible bounds, a minute to a day.
+    after = min(max(retry_after(answer, now) or 6 * 3_600, 60), 86_400)
+    return Window(start, end, now + after)
--- /dev/null
+++ b/saffrongw/certs/renewal.py
@@ -0,0 +1,186 @@
+"""When a certificate is ordered, from which authority, after which pause, and when somebody is woken. No I/O, no clock.
+
+All times are Unix seconds of a clock that may be wrong: what is kept is clamped against ``now`` whenever it is read,
+so that a clock which jumped ahead or back costs one early or late look and never a silence.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from enum import IntEnum
+
+from .messages import Kind, Window
+
+MINUTE, HOUR, DAY = 60.0, 3_600.0, 86_400.0
+
+
+@dataclass(frozen=True, slots=True)
+class Pause:
+    """First pause, factor, most; in seconds. ``elsewhere``: failures after which the next authority is asked."""
+
+    first: float
+    most: float
+    elsewhere: int
+    factor: float = 2.0
+
+
+# Why these: an authority that is away costs nothing to ask again, so an hour is the most, and that bounds how soon a
+# renewal follows its return. Validations that failed count against limits of a few an hour with public authorities.
+# What was rejected will be rejected again until somebody changes something.
+PAUSES = {
+    Kind.AWAY: Pause(MINUTE, HOUR, 3),
+    Kind.RATE: Pause(HOUR, DAY, 1),
+    Kind.CHALLENGE: Pause(10 * MINUTE, 12 * HOUR, 6),
+    Kind.ACCOUNT: Pause(MINUTE, 6 * HOUR, 2, 4.0),
+    Kind.ORDER: Pause(MINUTE, 6 * HOUR, 4),
+    Kind.REJECTED: Pause(HOUR, DAY, 2),
+    Kind.UNUSABLE: Pause(10 * MINUTE, 12 * HOUR, 2),
+    Kind.LOCAL: Pause(10.0, 10 * MINUTE, 1_000_000),
+}
+JITTER = 0.25  # of a pause, drawn, so that many names that failed together don't come back together
+NEAR = (
+    0.1  # of the time that is left: the most that a pause may take of it, as long as the authority named none
+)
+NEAR_LEAST = 30.0  # seconds, also once the certificate has ended
+WITHOUT_MOST = 10 * MINUTE  # seconds between tries while there is no certificate at all
+SPREAD = 0.1  # of a life: names with one life renew spread over this part of it before they are due
+
+
+@dataclass(frozen=True, slots=True)
+class Failures:
+    """What went wrong since the last success: how often in a row by its kind, at which authority, what was said."""
+
+    kind: str = ""
+    count: int = 0
+    next_at: float = 0.0
+    since: float = 0.0
+    at: float = 0.0  # when the last one was
+    detail: str = ""
+    authority: int = 0  # the place in the list that is asked next
+    forced: bool = False  # the pause is the authority's own word
+
+    def __bool__(self) -> bool:
+        return self.count > 0
+
+
+NONE = Failures()
+
+
+class Alarm(IntEnum):
+    """How urgent it is."""
+
+    NONE = 0
+    NOTICE = 1
+    WARNING = 2
+    CRITICAL = 3
+    ENDED = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Rules:
+    """``lead``: part of the life that is left when a renewal is due. Alarms: parts of the life left, and no renewal."""
+
+    lead: float = 1 / 3
+    notice: float = 0.25
+    warning: float = 0.12
+    critical: float = 0.04
+
+
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """What is known of one certificate: its validity (None: there is none), its window, what failed, who it is."""
+
+    start: float | None = None
+    end: float | None = None
+    window: Window | None = None
+    failures: Failures = NONE
+    draw: float = 0.0  # 0 to 1, its own: where in spreads and windows it lies
+    wanted: bool = False  # an operator asked for it now, or its names changed
+
+
+def due_at(standing: Standing, rules: Rules) -> float:
+    """When its renewal begins, if nothing failed. Without a certificate: at once.
+
+    An authority's window counts where there is one, but never beyond half of what the rule would leave: a window that
+    begins after the certificate ends, or on its last day, would be followed into the ground.
+    """
+    if standing.wanted or standing.start is None or standing.end is None:
+        return 0.0
+    life = max(0.0, standing.end - standing.start)
+    rule = standing.end - rules.lead * life - SPREAD * life * standing.draw
+    if standing.window is None:
+        return rule
+    chosen = standing.window.start + standing.draw * (standing.window.end - standing.window.start)
+    return min(chosen, standing.end - rules.lead * life / 2)
+
+
+def next_try(now: float, standing: Standing, rules: Rules) -> float:
+    """When to begin, what failed taken into account."""
+    due = due_at(standing, rules)
+    failures = standing.failures
+    if not failures:
+        return due
+    # A clock that was ahead when it was written must not silence us; one pause of the longest kind is the bound.
+    longest = PAUSES[Kind(failures.kind)].most * (1 + JITTER)
+    until = failures.next_at if failures.forced else min(failures.next_at, now + longest)
+    if failures.forced:
+        until = min(until, now + 30 * DAY)
+    return max(due, until)
+
+
+def failed(
+    now: float,
+    standing: Standing,
+    kind: Kind,
+    detail: str,
+    retry_after: float,
+    draw: float,
+    authorities: int,
+) -> Failures:
+    """What is kept of a failure: the pause grows by kind, shrinks as the end nears, another authority takes over."""
+    before = standing.failures
+    count = before.count + 1 if before.kind == kind.value else 1
+    pause = PAUSES[kind]
+    wait = min(pause.first * pause.factor ** min(count - 1, 40), pause.most)
+    near = WITHOUT_MOST if standing.end is None else max(NEAR_LEAST, NEAR * (standing.end - now))
+    wait = min(wait, near)
+    wait *= 1 + JITTER * draw
+    authority, forced = before.authority, retry_after > wait
+    if authorities > 1 and count % pause.elsewhere == 0:
+        # The other one has not asked us to wait, and what failed here need not fail there.
+        authority, wait, forced = (authority + 1) % authorities, min(wait, MINUTE * (1 + draw)), False
+    elif forced:
+        wait = retry_after
+    since = before.since if before and before.since <= now else now
+    return Failures(
+        kind.value, count, now + wait, since, now, detail, authority % max(1, authorities), forced
+    )
+
+
+def alarm(now: float, standing: Standing, rules: Rules) -> Alarm:
+    """How urgent its state is: by the part of its life that is left, where its renewal should have happened."""
+    if standing.start is None or standing.end is None:
+        return Alarm.CRITICAL if standing.failures else Alarm.NOTICE
+    left, life = standing.end - now, max(1.0, standing.end - standing.start)
+    if left <= 0:
+        return Alarm.ENDED
+    part = left / life
+    if part <= rules.critical:
+        return Alarm.CRITICAL
+    if part <= rules.warning:
+        return Alarm.WARNING
+    return Alarm.NOTICE if part <= rules.notice else Alarm.NONE
+
+
+def ask_window_at(now: float, standing: Standing) -> float:
+    """When the authority's window is asked for (again); at once where none is known or the clock went back."""
+    window = standing.window
+    if window is None or window.ask_at > now + DAY + HOUR:
+        return now
+    return window.ask_at
+
+
+def window_failed(now: float, standing: Standing) -> Standing:
+    """Asking failed: what was known stays, and the next question comes in an hour."""
+    window = standing.window
+    return replace(standing, window=replace(window, ask_at=now + HOUR) if window else None)
--- /dev/null
+++ b/saffrongw/certs/table.py
@@ -0,0 +1,124 @@
+"""``[certs]`` of the operator file: its keys, units, defaults and bounds. Read with every operator file, so it loads
+nothing of the rest."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from tomlform import key
+
+ADDRESS = r"[A-Za-z0-9.\-]{1,253}:[0-9]{1,5}"
+NAME = r"(?=.{1,253}\Z)([a-z0-9_]([a-z0-9_\-]{0,61}[a-z0-9])?\.)*[a-z0-9_]([a-z0-9_\-]{0,61}[a-z0-9])?"
+URL = r"https://[!-~]{1,2000}"
+KEYS = ("ecdsa-p256", "ecdsa-p384", "rsa-2048")
+CHALLENGES = ("tls-alpn-01", "http-01")
+NAMES_MOST = 100  # of one certificate: authorities allow no more
+CERTS_MOST = 1_000  # contexts are kept for all
+
+
+@dataclass(frozen=True, slots=True)
+class AuthorityTable:
+    """``[[certs.authority]]``: asked in this order; the next one where the one before it fails for long."""
+
+    directory: str = key(form=URL, about="its directory")
+    contact: tuple[str, ...] = key((), about="addresses of mail")
+    ca: str = key("", about="a file of authorities that its own certificate comes from; empty: the system's")
+    issuer: str = key("", about="the common name in the chain that is preferred")
+    external_id: str = key("", about="the id of an external account")
+    external_key: str = key("", about="the file of its key, base64url, mode 0600")
+
+    def __post_init__(self) -> None:
+        if bool(self.external_id) != bool(self.external_key):
+            raise ValueError("external_id and external_key stand together or not at all")
+
+
+@dataclass(frozen=True, slots=True)
+class CertTable:
+    """``[[certs.certificate]]``: one certificate that is obtained and renewed."""
+
+    names: tuple[str, ...] = key(form=NAME, about="what it proves; the first one names it")
+    key_: str = key("ecdsa-p256", choices=KEYS)
+    challenge: str = key("tls-alpn-01", choices=CHALLENGES, about="how the names are proved")
+
+    def __post_init__(self) -> None:
+        if not self.names:
+            raise ValueError("names is empty")
+        if len(self.names) > NAMES_MOST:
+            raise ValueError(f"{len(self.names)} names; one certificate has {NAMES_MOST} at most")
+        if len(set(self.names)) < len(self.names):
+            raise ValueError("a name stands twice")
+
+    @property
+    def id(self) -> str:
+        """Under which it is kept."""
+        return self.names[0]
+
+
+@dataclass(frozen=True, slots=True)
+class ClientsTable:
+    """``[certs.tls]``: how TLS is spoken with clients, and what its handshakes may cost."""
+
+    minimum: str = key("1.2", choices=("1.2", "1.3"))
+    protocols: tuple[str, ...] = key((), form=r"[!-~]{1,64}", about="ALPN, the first one is preferred")
+    clients: str = key("none", choices=("none", "optional", "required"), about="certificates of clients")
+    client_ca: str = key("", about="the file of authorities that they come from")
+    ticket_hours: float = key(12.0, least=0.001, most=168, about="how long keys of session tickets live")
+    half_open: int = key(256, least=4, most=10_000, about="connections without a finished handshake")
+    handshake_ms: int = key(5_000, least=100, most=60_000, about="for a whole handshake")
+    share: float = key(0.25, least=0.01, most=1.0, about="of the core, for all handshakes together")
+
+    def __post_init__(self) -> None:
+        if (self.clients != "none") != bool(self.client_ca):
+            raise ValueError("client_ca is needed where clients prove themselves, and only there")
+
+
+@dataclass(frozen=True, slots=True)
+class RenewalTable:
+    """``[certs.renewal]``: parts of a certificate's life that are left."""
+
+    lead: float = key(1 / 3, least=0.02, most=0.9, about="when it is renewed, without an authority's window")
+    notice: float = key(0.25, least=0.0, most=1.0, about="alarms, where a renewal has not happened by then")
+    warning: float = key(0.12, least=0.0, most=1.0)
+    critical: float = key(0.04, least=0.0, most=1.0)
+    order_minutes: float = key(60.0, least=0.01, most=1_440, about="for a whole order")
+
+    def __post_init__(self) -> None:
+        if not self.lead > self.notice >= self.warning >= self.critical:
+            raise ValueError("lead, notice, warning and critical must fall in this order")
+
+
+@dataclass(frozen=True, slots=True)
+class CertsTable:
+    """``[certs]``: TLS for clients, and its certificates."""
+
+    listen: str = key(form=ADDRESS, about="where clients connect by TLS")
+    state_dir: Path = key(about="a folder that all gateways with these names share")
+    http_listen: str = key("", form=rf"({ADDRESS})?", about="where http-01 is answered")
+    default: str = key("", about="the certificate for clients that name none; empty: the first one")
+    certificate: tuple[CertTable, ...] = key(())
+    authority: tuple[AuthorityTable, ...] = key(())
+    lease_seconds: float = key(30.0, least=1.0, most=3_600, about="how long one gateway orders unasked")
+    clock_skew: float = key(
+        2.0, least=0.01, most=600, about="by how many seconds gateways' clocks may differ"
+    )
+    tls: ClientsTable = key(ClientsTable())
+    renewal: RenewalTable = key(RenewalTable())
+
+    def __post_init__(self) -> None:
+        if self.certificate and not self.authority:
+            raise ValueError("certificates are to be obtained, but there is no [[certs.authority]]")
+        if len(self.certificate) > CERTS_MOST:
+            raise ValueError(f"{len(self.certificate)} certificates; {CERTS_MOST} at most")
+        ids = [one.id for one in self.certificate]
+        if len(set(ids)) < len(ids):
+            raise ValueError("two certificates begin with the same name")
+        directories = [one.directory for one in self.authority]
+        if len(set(directories)) < len(directories):
+            raise ValueError("an authority stands twice")
+        if 3 * self.clock_skew >= self.lease_seconds:
+            raise ValueError("clock_skew must be less than a third of lease_seconds")
+        if not self.http_listen and any(one.challenge == "http-01" for one in self.certificate):
+            raise ValueError("http-01 needs http_listen")
+        if self.default and self.default not in ids and self.certificate:
+            raise ValueError(f"default: {self.default!r} names no certificate")
--- a/saffrongw/operator/file.py
+++ b/saffrongw/operator/file.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import tomlform
+from saffrongw.certs.table import CertsTable
 from tomlform import key
 
 ADDRESS = r"[A-Za-z0-9.\-]{1,253}:[0-9]{1,5}"
@@ -131,6 +132,7 @@
     authz: AuthzTable | None = key(None)
     authz_server: AuthzServerTable | None = key(None)
     ledger: LedgerTable | None = key(None)
+    certs: CertsTable | None = key(None)
 
 
 def load(path: Path | str) -> OperatorFile:
--- a/saffrongw/wiring.py
+++ b/saffrongw/wiring.py
@@ -5,8 +5,10 @@
 import logging
 from dataclasses import replace
 
+from saffrongw.certs.table import CertsTable
+from saffrongw.gateway.clients import Front
 from saffrongw.gateway.config import Config
-from saffrongw.gateway.plug import Observer, Plugs, Service, Stage
+from saffrongw.gateway.plug import Lines, Observer, Plugs, Service, Stage
 from saffrongw.operator import OperatorFile, load
 from saffrongw.operator.file import AuthzServerTable, AuthzTable, LedgerTable, TlsTable
 from tomlform import FormError
@@ -31,32 +33,62 @@
         stages.append(ledger)
         observers.append(ledger)
         services.append(ledger)
+    fronts: list[Front] = []
+    figures: list[Lines] = []
+    certs = None
+    if file.certs:
+        certs = _certs(file.certs, config)
+        services.append(certs)
+        fronts.append(certs.front)
+        figures.append(certs.figures)
     if file.authz_server:
         services.append(_authz_server(file.authz_server, config))
-    again = Again(path, file, config, stage) if path else None
-    return Plugs(tuple(stages), tuple(observers), tuple(services), file.stages.time_share, again)
+    again = Again(path, file, config, stage, certs) if path else None
+    parts = tuple(stages), tuple(observers), tuple(services)
+    return Plugs(*parts, file.stages.time_share, again, tuple(fronts), tuple(figures))
 
 
 class Again:
     """SIGHUP: the operator file read anew. All of it is valid and takes effect, or none, and the old one stays."""
 
-    def __init__(self, path: str, file: OperatorFile, config: Config, stage) -> None:
-        self.path, self.file, self.config, self.stage = path, file, config, stage
+    def __init__(self, path: str, file: OperatorFile, config: Config, stage, certs) -> None:
+        self.path, self.file, self.config, self.stage, self.certs = path, file, config, stage, certs
 
     def __call__(self) -> None:
         try:
             new = load(self.path)
-            built = plugs_of(new, self.config)
+            commit = self.certs.change(new.certs) if self.certs and new.certs else None
+            built = plugs_of(replace(new, certs=None), self.config)
             if self.stage and new.authz and new.authz != self.file.authz:
                 made = built.stages[0]
                 self.stage.change(made.figures, made.rules, made.make)
         except (FormError, OSError, ValueError) as wrong:
             log.warning("reload: the operator file that was read first stays: %s", wrong)
             return
-        fixed = (self.file.stages, bool(self.file.authz), self.file.authz_server, self.file.ledger)
-        if fixed != (new.stages, bool(new.authz), new.authz_server, new.ledger):
-            log.warning("reload: what is switched on or off, and all but [authz], wait for the next start")
-        self.file = replace(self.file, authz=new.authz if self.stage and new.authz else self.file.authz)
+        if commit:
+            commit()
+        if _fixed(self.file) != _fixed(new):
+            log.warning(
+                "reload: what is switched on or off, and all but [authz] and [certs], wait for the next start"
+            )
+        self.file = replace(
+            self.file,
+            authz=new.authz if self.stage and new.authz else self.file.authz,
+            certs=new.certs if commit else self.file.certs,
+        )
+
+
+def _fixed(file: OperatorFile) -> tuple:
+    """What can't change in service."""
+    return file.stages, bool(file.authz), file.authz_server, file.ledger, bool(file.certs)
+
+
+def _certs(table: CertsTable, config: Config):
+    try:
+        from saffrongw.certs.part import CertsPart
+    except ImportError as missing:
+        raise FormError(f"certs needs the extra saffrongw[certs]: {missing}") from None
+    return CertsPart(table, config.seed)
 
 
 def _library(table: str) -> None:
--- /dev/null
+++ b/tests/certs/certsite.py
@@ -0,0 +1,93 @@
+"""A site for tests of certificates: gateways in this process, an authority on loopback, a clock that can run fast."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import ssl
+import time
+from pathlib import Path
+
+from conftest import Caller, FakeHost, Rig, until
+
+from saffrongw.certs.agent import Clock
+from saffrongw.certs.part import CertsPart
+from saffrongw.certs.table import AuthorityTable, CertsTable, CertTable
+from standin.authority.server import AuthorityServer
+from standin.play.processes import free_port
+
+NAME = "gw.example"
+DAY = 86_400.0
+
+
+class FastClock(Clock):
+    """Real time from a start on, so many times as fast; ``ahead`` makes it jump."""
+
+    def __init__(self, pace: float = 1.0) -> None:
+        self.pace, self.began, self.ahead = pace, time.time(), 0.0
+        self.first = time.monotonic()
+
+    def now(self) -> float:
+        return self.began + (time.monotonic() - self.first) * self.pace + self.ahead
+
+    async def sleep(self, span: float) -> None:
+        await asyncio.sleep(max(0.002, span / self.pace))
+
+
+def table_of(folder: Path, server: AuthorityServer, **changes) -> CertsTable:
+    """One certificate for one name, proved by TLS, from one authority."""
+    ca = str(server.write_ca(folder))
+    found = CertsTable(
+        f"127.0.0.1:{free_port()}",
+        folder / "state",
+        certificate=(CertTable((NAME,)),),
+        authority=(AuthorityTable(server.directory, ca=ca),),
+    )
+    return dataclasses.replace(found, **changes)
+
+
+class Member:
+    """One gateway of the site."""
+
+    def __init__(self, table: CertsTable, clock: Clock, seed: int = 1) -> None:
+        self.table, self.clock, self.seed = table, clock, seed
+
+    async def start(self) -> Member:
+        self.host = await FakeHost("h1").listen()
+        self.rig = Rig(self.host, self.host.line(host="h2"), lines=[self.host.line(host=n) for n in "abcdef"])
+        self.part = CertsPart(self.table, self.seed, self.clock)
+        await self.rig.clients.listen()
+        await self.part.start(self.rig.driver)
+        await self.rig.clients.open_fronts((self.part.front,))
+        return self
+
+    async def stop(self) -> None:
+        await self.part.stop()
+
+    @property
+    def tls_port(self) -> int:
+        return self.part.front.listener.getsockname()[1]
+
+    async def caller(self, name: str | None = NAME, context: ssl.SSLContext | None = None) -> Caller:
+        """A client's connection by TLS; its certificate is not verified here."""
+        loop = asyncio.get_running_loop()
+        _, caller = await loop.create_connection(
+            Caller, "127.0.0.1", self.tls_port, ssl=context or trusting(), server_hostname=name or ""
+        )
+        return caller
+
+    async def shown(self, name: str | None = NAME) -> bytes:
+        """The certificate that a new client is shown, as DER."""
+        caller = await self.caller(name)
+        found = caller.transport.get_extra_info("ssl_object").getpeercert(binary_form=True)
+        caller.transport.abort()
+        return found
+
+    async def serves(self, within: float = 20.0) -> None:
+        await until(lambda: NAME in self.part.agent.keeper.names.contexts, within)
+
+
+def trusting() -> ssl.SSLContext:
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    context.check_hostname, context.verify_mode = False, ssl.CERT_NONE
+    return context
