--- /dev/null
+++ b/saffrongw/admin/certs.py
@@ -0,0 +1,236 @@
+"""``saffrongw certs``: what a site's folder of certificates holds, and what an operator does to it.
+
+Works beside running gateways, which look at the folder once a second. ``renew`` leaves the ordering to whoever holds
+the duty; ``revoke`` and ``rollover`` speak to the authority themselves.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import time
+from dataclasses import dataclass
+from datetime import UTC, datetime
+
+from saffrongw import operator
+from saffrongw.admin import unusable
+from saffrongw.certs import chain, flow, renewal
+from saffrongw.certs.agent import Agent, Row
+from saffrongw.certs.documents import CertNote, DocumentError
+from saffrongw.certs.front import Manner
+from saffrongw.certs.jose import AccountKey
+from saffrongw.certs.messages import AcmeError
+from saffrongw.certs.store import Store
+from saffrongw.certs.table import AuthorityTable, CertsTable
+from tomlform import FormError
+
+REASONS = {"unspecified": 0, "key-compromise": 1, "superseded": 4, "cessation": 5}  # RFC 5280, 5.3.1
+ALARM_STATUS = 1  # exit status of ``list`` where something is urgent
+
+
+@dataclass(frozen=True, slots=True)
+class Site:
+    """The folder, and the table where one was named."""
+
+    store: Store
+    table: CertsTable | None
+
+
+def when(at: float | None) -> str:
+    """A time as people read it."""
+    if at is None:
+        return "-"
+    if at <= time.time():
+        return "now"
+    return datetime.fromtimestamp(at, UTC).strftime("%Y-%m-%d %H:%M UTC")
+
+
+def rows_of(site: Site) -> list[Row]:
+    """What a gateway would show, from the folder alone: who orders right now is not known here."""
+    table = site.table or CertsTable("none:1", site.store.folder)
+    agent = Agent(table, "operator", Manner())
+    agent.keeper.pairs = {id: pair for id in site.store.ids() if (pair := site.store.pair(id))}
+    agent.notes = agent._read_notes()
+    return agent.rows()
+
+
+def as_json(row: Row) -> dict:
+    """One row in plain types."""
+    return {
+        "id": row.id,
+        "names": list(row.names),
+        "days_left": row.days_left,
+        "issuer": row.issuer,
+        "alarm": row.alarm.name.lower(),
+        "next_at": row.next_at,
+        "failed": row.failures.count,
+        "failure": row.failures.kind,
+        "detail": row.failures.detail,
+    }
+
+
+def table_text(rows: list[Row]) -> str:
+    """Rows as a table."""
+    lines = [("certificate", "names", "days left", "issuer", "alarm", "renewal", "failed", "last failure")]
+    for row in rows:
+        left = "none" if row.days_left is None else f"{row.days_left:.1f}"
+        names = row.names[0] if row.names else "-"
+        more = f" +{len(row.names) - 1}" if len(row.names) > 1 else ""
+        why = f"{row.failures.kind}: {row.failures.detail}"[:60] if row.failures else "-"
+        alarm = row.alarm.name.lower()
+        counted = str(row.failures.count or "-")
+        lines.append((row.id, names + more, left, row.issuer or "-", alarm, when(row.next_at), counted, why))
+    widths = [max(len(line[at]) for line in lines) for at in range(len(lines[0]))]
+    return "\n".join(
+        "  ".join(c.ljust(w) for c, w in zip(line, widths, strict=True)).rstrip() for line in lines
+    )
+
+
+def _list(site: Site, given: argparse.Namespace) -> int:
+    rows = rows_of(site)
+    if given.json:
+        for row in rows:
+            print(json.dumps(as_json(row)))
+    else:
+        print(table_text(rows) if rows else "no certificates")
+        if (lease := site.store.lease()) is not None:
+            print(f"orders: {lease.holder}, term {lease.term}, until {when(lease.until)}")
+    return ALARM_STATUS if any(row.alarm >= renewal.Alarm.WARNING for row in rows) else 0
+
+
+def _show(site: Site, given: argparse.Namespace) -> int:
+    row = next((row for row in rows_of(site) if row.id == given.id), None)
+    if row is None:
+        return unusable(
+            f"no certificate is called {given.id!r}; there are: {', '.join(site.store.ids()) or 'none'}"
+        )
+    note, pair = site.store.note(given.id), site.store.pair(given.id)
+    print(f"certificate  {row.id}")
+    print(f"names        {', '.join(row.names) or '-'}")
+    if pair:
+        f = pair.facts
+        print(f"valid        {_utc(f.start)} to {_utc(f.end)}, {row.days_left:.2f} days left")
+        print(f"issuer       {f.issuer} (chain of {f.chain})")
+        print(f"serial       {f.serial:x}")
+        print(f"fingerprint  {f.fingerprint}")
+        print(f"files        {pair.cert}, {pair.key.name}")
+    else:
+        print("valid        there is none that may serve")
+    print(f"alarm        {row.alarm.name.lower()}")
+    print(f"renewal      {'by hand (imported)' if note.imported and not note.wanted else when(row.next_at)}")
+    if note.window:
+        print(f"window       {_utc(note.window.start)} to {_utc(note.window.end)}, by the authority")
+    if note.order:
+        place = note.order.url or "its answer never came"
+        print(f"order        begun {_utc(note.order.begun)} at {note.order.directory}: {place}")
+    if note.failures:
+        f = note.failures
+        print(f"failed       {f.count} times in a row since {_utc(f.since)}; last {_utc(f.at)}")
+        print(f"             {f.kind}: {f.detail}")
+    return 0
+
+
+def _utc(at: float) -> str:
+    return datetime.fromtimestamp(at, UTC).strftime("%Y-%m-%d %H:%M:%S UTC")
+
+
+def _renew(site: Site, given: argparse.Namespace) -> int:
+    managed = {one.id for one in site.table.certificate} if site.table else set(site.store.ids())
+    if given.id not in managed:
+        return unusable(
+            f"no certificate is called {given.id!r}; there are: {', '.join(sorted(managed)) or 'none'}"
+        )
+    site.store.want(given.id)
+    print(
+        f"{given.id}: whoever holds the duty renews it within a second or two; watch `saffrongw certs list`"
+    )
+    return 0
+
+
+def _import(site: Site, given: argparse.Namespace) -> int:
+    try:
+        cert, key = given.cert.read_bytes(), given.key.read_bytes()
+    except OSError as wrong:
+        return unusable(f"{wrong.filename}: can't be read: {wrong.strerror}")
+    try:
+        facts = chain.check(cert, key, (), time.time())
+    except chain.ChainError as wrong:
+        return unusable(f"{given.cert}: {wrong}")
+    id = given.id or facts.names[0].replace("*", "_")
+    note = CertNote(names=facts.names, imported=True)
+    site.store.install(id, cert, key, note, None)
+    print(
+        f"{id}: in service for {', '.join(facts.names)}, {(facts.end - time.time()) / 86_400:.1f} days left"
+    )
+    if site.table and id in {one.id for one in site.table.certificate}:
+        print("it is not renewed until `saffrongw certs renew` asks for it")
+    return 0
+
+
+def _authority(site: Site, directory: str) -> AuthorityTable:
+    """The one that was named, or the only one."""
+    places = site.table.authority if site.table else ()
+    for place in places:
+        if place.directory == directory or (not directory and len(places) == 1):
+            return place
+    known = ", ".join(p.directory for p in places) or "none (name the operator file with --operator)"
+    raise DocumentError(f"which authority? --authority is one of: {known}")
+
+
+async def _speak(site: Site, place: AuthorityTable, what) -> None:
+    """One conversation with an authority under our account there."""
+    agent = Agent(site.table, "operator", Manner())
+    agent.store = site.store
+    try:
+        session, https = await agent._session(place, None)
+        await agent.perform(what(session), https, "", None)
+    finally:
+        agent.pool.shutdown(wait=False)
+
+
+def _revoke(site: Site, given: argparse.Namespace) -> int:
+    pair = site.store.pair(given.id)
+    if pair is None:
+        return unusable(f"{given.id}: there is no certificate")
+    der = flow.der_of(site.store.files(pair)[0])
+    place = _authority(site, given.authority)
+    asyncio.run(_speak(site, place, lambda session: session.revoke(der, REASONS[given.reason])))
+    site.store.drop_pending(given.id, None)
+    site.store.want(given.id)
+    print(f"{given.id}: revoked; it serves until its successor is there, which is ordered now with a new key")
+    return 0
+
+
+def _rollover(site: Site, given: argparse.Namespace) -> int:
+    place, new = _authority(site, given.authority), AccountKey.new()
+    site.store.begin_key_change(place.directory, new)
+    asyncio.run(_speak(site, place, lambda session: session.roll_over(new)))
+    site.store.end_key_change(place.directory)
+    print(f"the account at {place.directory} has a new key")
+    return 0
+
+
+def run(given: argparse.Namespace) -> int:
+    """Carry one of them out; 2 where that can't be done."""
+    act = {
+        "list": _list,
+        "show": _show,
+        "renew": _renew,
+        "revoke": _revoke,
+        "rollover": _rollover,
+        "import": _import,
+    }
+    try:
+        table = operator.load(given.operator).certs if given.operator else None
+        if given.operator and table is None:
+            return unusable(f"{given.operator}: it has no [certs]")
+        store = Store(table.state_dir if table else given.state)
+        if not store.folder.is_dir() and given.what != "import":
+            return unusable(f"{store.folder}: there is no such folder")
+        store.open()
+        return act[given.what](Site(store, table), given)
+    except FormError as wrong:
+        return unusable(wrong)
+    except (AcmeError, DocumentError) as wrong:
+        return unusable(getattr(wrong, "detail", None) or wrong)
--- a/saffrongw/admin/cli.py
+++ b/saffrongw/admin/cli.py
@@ -86,6 +86,32 @@
     lists.add_argument("file", type=Path)
 
 
+def _certs_commands(commands: argparse._SubParsersAction) -> None:
+    """Its arguments; ``certs.py`` carries them out."""
+    certs = commands.add_parser("certs", help="certificates of the TLS listener")
+    where = certs.add_mutually_exclusive_group(required=True)
+    where.add_argument("--operator", type=Path, metavar="FILE", help="the operator file with [certs]")
+    where.add_argument("--state", type=Path, metavar="DIR", help="the state_dir alone")
+    certs.add_argument("--json", action="store_true", help="JSON lines")
+    what = certs.add_subparsers(dest="what", required=True)
+    what.add_parser("list", help="all, the most urgent first; status 1 where one is at warning or worse")
+    for name, about in (("show", "all that is known of one"), ("renew", "order it now")):
+        what.add_parser(name, help=about).add_argument("id")
+    revoke = what.add_parser("revoke", help="tell the authority that it is not to be trusted")
+    revoke.add_argument("id")
+    reasons = ("unspecified", "key-compromise", "superseded", "cessation")
+    revoke.add_argument("--reason", choices=reasons, default="unspecified")
+    roll = what.add_parser("rollover", help="give the account a new key")
+    for one in (revoke, roll):
+        one.add_argument(
+            "--authority", default="", metavar="URL", help="its directory, where there are several"
+        )
+    get = what.add_parser("import", help="put a certificate in service that came another way")
+    get.add_argument("--cert", type=Path, required=True, metavar="PEM")
+    get.add_argument("--key", type=Path, required=True, metavar="PEM")
+    get.add_argument("--id", default="", help="its name here; else the first name that it proves")
+
+
 def main(argv: Sequence[str] | None = None) -> int:
     """The command line."""
     parser = argparse.ArgumentParser("saffrongw", description="A quota-keeping api gateway.")
@@ -97,11 +123,16 @@
     look.add_argument("file", type=Path)
     commands.add_parser("version", help="print the version")
     _ledger_commands(commands)
+    _certs_commands(commands)
     given = parser.parse_args(argv)
     if given.command == "ledger":
         from . import ledger  # only here: other commands load nothing of it
 
         return ledger.run(given)
+    if given.command == "certs":
+        from . import certs
+
+        return certs.run(given)
     if given.command == "serve":
         return serve(given.config, given.operator)
     return check(given.file) if given.command == "check" else version()
--- a/saffrongw/certs/agent.py
+++ b/saffrongw/certs/agent.py
@@ -298,7 +298,10 @@
             self.kick.clear()
             again = self.clock.now() + IDLE
             try:
+                before = self.term
                 self.term, look = await self._off(self.store.take_duty, self.me)
+                if self.term and self.term != before:
+                    await self._off(self._tidy)
                 again = min(again, look)
                 if self.term:
                     again = min(again, await self._begin_due())
@@ -308,6 +311,8 @@
             except (AcmeError, OSError) as wrong:
                 self.term = 0
                 log.warning("certs: %s", wrong)
+            except Exception:  # guards the duty: a fault of ours must not end it for good
+                log.exception("certs: the duty of ordering")
             span = max(self.table.lease_seconds / 100, again - self.clock.now())
             sleeping = asyncio.ensure_future(self.clock.sleep(min(span, IDLE)))
             kicked = asyncio.ensure_future(self.kick.wait())
@@ -317,6 +322,12 @@
                 sleeping.cancel()
                 kicked.cancel()
 
+    def _tidy(self) -> None:
+        """What the one before us may have left."""
+        for id in self.store.ids():
+            with contextlib.suppress(DocumentError):  # told where it is read
+                self.store.tidy(id, (self.me, self.term))
+
     async def _begin_due(self) -> float:
         """Begin the orders whose time has come, the most urgent first; when the next one's comes."""
         self.notes = await self._off(self._read_notes)
@@ -326,7 +337,7 @@
             if one.id in self.busy:
                 continue
             standing = self._standing(one)
-            if self.notes[one.id].imported and not standing.wanted:
+            if self._note(one.id).imported and not standing.wanted:
                 continue
             at = renewal.next_try(now, standing, self.rules)
             ask_at = renewal.ask_window_at(now, standing) if standing.end is not None else float("inf")
@@ -343,8 +354,12 @@
             task.add_done_callback(lambda _, id=one.id: (self.busy.pop(id, None), self.kick.set()))
         return again
 
+    def _note(self, id: str) -> CertNote:
+        """As it was read last; the table may have got a certificate since."""
+        return self.notes.get(id, CertNote())
+
     def _standing(self, one: CertTable) -> Standing:
-        note = self.notes.get(one.id, CertNote())
+        note = self._note(one.id)
         unkept = self.unkept.get(one.id)
         if unkept and unkept.at >= note.failures.at:
             note = replace(note, failures=unkept)
@@ -354,9 +369,9 @@
         """Our account with an authority, made where there is none."""
         https = await self._off(self.https, place.ca)
         async with self.opening.setdefault(place.directory, asyncio.Lock()):
+            key, account = await self._off(self.store.account, place.directory, duty)
             session = self.sessions.get(place.directory)
-            if session is None:
-                key, account = await self._off(self.store.account, place.directory, duty)
+            if session is None or session.key.thumbprint != key.thumbprint:  # an operator changed it meanwhile
                 session = Session(place.directory, key, self.clock.now, account.url if account else "")
                 session = await self._finish_key_change(session, https, duty)
                 if not session.account or (account and account.contact != place.contact):
@@ -385,7 +400,7 @@
 
     async def _ask_window(self, one: CertTable) -> None:
         """When the authority wants it renewed."""
-        note, standing = self.notes[one.id], self._standing(one)
+        note, standing = self._note(one.id), self._standing(one)
         duty = (self.me, self.term)
         try:
             pair = self.keeper.pairs.get(one.id)
@@ -428,8 +443,17 @@
                 place.issuer,
                 pair.facts.ari if pair and not note.wanted else "",
             )
-            steps = flow.obtain(session, note, wanted, _issuers)
-            pem = await self.perform(steps, https, one.id, duty)
+            try:
+                pem = await self.perform(flow.obtain(session, note, wanted, _issuers), https, one.id, duty)
+            except AcmeError as wrong:
+                # Asked for by a process that died while the authority looked: that says nothing of the names.
+                if not (note.order and note.order.url) or wrong.kind not in (Kind.CHALLENGE, Kind.ORDER):
+                    raise
+                log.warning(
+                    "certs: %s: an order of an earlier life was lost, a new one begins: %s", one.id, wrong
+                )
+                note = replace(note, order=None)
+                pem = await self.perform(flow.obtain(session, note, wanted, _issuers), https, one.id, duty)
             await self._off(self._put_in_service, one, pem, key, duty)
             await self._off(self.keeper.load)
             self.unkept.pop(one.id, None)
--- a/saffrongw/certs/store.py
+++ b/saffrongw/certs/store.py
@@ -384,6 +384,18 @@
             self._prune(id)
             self._tell()
 
+    def tidy(self, id: str, duty: tuple[str, int] | None) -> None:
+        """A crash right after a certificate came in service leaves the note of its order, and its key a second time:
+        else the next renewal would begin by taking up an order that is done."""
+        pending, pair = self._read(self._cert(id) / "pending.key"), self.pair(id)
+        if pending is None or pair is None or self._read(pair.key) != pending:
+            return
+        with self._under(duty):
+            note = replace(self.note(id), order=None, failures=documents.NONE, wanted=False)
+            self._write(self._cert(id) / "note.json", documents.dump(note))
+            self._remove(self._cert(id) / "pending.key")
+            self._tell()
+
     def _prune(self, id: str) -> None:
         """Versions beyond those that are kept; the current one stays in any case."""
         place, current = self._cert(id), self.current(id)
--- /dev/null
+++ b/tests/certs/test_kills.py
@@ -0,0 +1,154 @@
+"""Real gateways killed at every step of an order: afterwards one valid certificate serves, and no key was lost."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+import time
+from pathlib import Path
+
+import pytest
+from certsite import NAME, trusting
+from conftest import asyncio_test, configured
+from test_chain import csr
+
+from saffrongw.certs import chain, flow
+from saffrongw.certs.documents import CertNote
+from saffrongw.certs.store import Store
+from standin.authority.issuer import Issuer
+from standin.authority.server import AuthorityServer
+from standin.play.processes import die_with_parent, free_port
+
+ROOT = Path(__file__).parent.parent.parent
+STEPS = 64  # more than a first order has; a run that outlives them obtains its certificate at once
+DAY = 86_400.0
+
+
+class Site:
+    """One gateway as a process, its folder, its authority."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder, self.tls = folder, free_port()
+        self.config, _ = configured(folder)
+        self.state = folder / "state"
+        self.lives = 0
+
+    async def open(self) -> Site:
+        self.server = await AuthorityServer().listen()
+        self.server.tls = [("127.0.0.1", self.tls)]
+        self.operator = self.folder / "operator.toml"
+        self.operator.write_text(
+            f'[certs]\nlisten = "127.0.0.1:{self.tls}"\nstate_dir = "{self.state}"\n'
+            "lease_seconds = 1.0\nclock_skew = 0.05\n"
+            f'[[certs.certificate]]\nnames = ["{NAME}"]\n'
+            f'[[certs.authority]]\ndirectory = "{self.server.directory}"\nca = "{self.server.write_ca(self.folder)}"\n'
+        )
+        return self
+
+    async def start(self, kill_at: int = 0) -> asyncio.subprocess.Process:
+        self.lives += 1
+        run = ["-m", "tests.certs.killers", str(kill_at)] if kill_at else ["-m", "saffrongw"]
+        with (self.folder / "log").open("ab") as log:
+            return await asyncio.create_subprocess_exec(
+                sys.executable,
+                *run,
+                cwd=ROOT,
+                env=os.environ | {"LB_CONFIG": str(self.config), "SAFFRONGW_OPERATOR": str(self.operator)},
+                stdout=log,
+                stderr=log,
+                preexec_fn=die_with_parent,
+            )
+
+    def visit(self) -> bytes | None:
+        """The certificate that a client is shown; None: none."""
+        try:
+            sock = socket.create_connection(("127.0.0.1", self.tls), timeout=2)
+            with trusting().wrap_socket(sock, server_hostname=NAME) as tls:
+                return tls.getpeercert(binary_form=True)
+        except OSError:
+            return None
+
+    async def shown(self, other_than: bytes | None = None) -> bytes:
+        async with asyncio.timeout(40):
+            while (found := await asyncio.to_thread(self.visit)) in (None, other_than):
+                await asyncio.sleep(0.05)
+            return found
+
+    def log(self) -> str:
+        return (self.folder / "log").read_text()
+
+    async def end(self, process: asyncio.subprocess.Process) -> None:
+        process.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(process.wait(), 20) == 0
+        assert "Traceback" not in self.log()
+
+    def check(self) -> None:
+        """What lies on the disk after all: keys for their owner alone, nothing half written that counts."""
+        store = Store(self.state)
+        pair = store.pair(NAME)
+        chain.check(*store.files(pair), (NAME,), time.time())
+        assert store.note(NAME).order is None
+        assert not (self.state / "certs" / NAME / "pending.key").exists()
+        assert not list(self.state.rglob("account.key.gone-*"))
+        for path in self.state.rglob("*"):
+            assert path.stat().st_mode & 0o077 == 0, path
+        assert self.server.authority.counts["accounts"] == 1
+
+
+async def killed(folder: Path, step: int, prepare=None) -> None:
+    """One life up to a step, another one to the end."""
+    folder.mkdir()
+    site = await Site(folder).open()
+    old = prepare(site) if prepare else None
+    process = await site.start(step)
+    renewed = asyncio.ensure_future(site.shown(old))
+    ended = asyncio.ensure_future(process.wait())
+    await asyncio.wait((renewed, ended), return_when=asyncio.FIRST_COMPLETED)
+    renewed.cancel()
+    if process.returncode is None:
+        process.kill()
+        await ended
+    assert step > 40 or "killed at" in site.log()
+    again = await site.start()
+    if old:
+        assert await site.shown() is not None  # no pause in service, whatever was cut off
+    await site.shown(old)
+    async with asyncio.timeout(20):  # the word of it may be on its way still
+        while (site.state / "certs" / NAME / "pending.key").exists():
+            await asyncio.sleep(0.05)
+    await site.end(again)
+    site.check()
+    assert site.server.authority.counts["orders"] <= 2
+    await site.server.close()
+
+
+@pytest.mark.parametrize("batch", range(0, STEPS, 8))
+def test_killed_at_every_step_of_a_first_order(tmp_path, batch):
+    @asyncio_test
+    async def run():
+        await asyncio.gather(*(killed(tmp_path / str(step), step) for step in range(batch + 1, batch + 9)))
+
+    run()
+
+
+def with_an_old_one(site: Site) -> bytes:
+    """A certificate in service that is due; as DER."""
+    store, key, now = Store(site.state), chain.new_key("ecdsa-p256"), time.time()
+    store.open()
+    issuer = Issuer(now)
+    old = issuer.chain(issuer.sign(csr(key), [NAME], now - 80 * DAY, now + 10 * DAY))
+    store.install(NAME, old, key, CertNote(names=(NAME,)), None)
+    return flow.der_of(old)
+
+
+@pytest.mark.parametrize("batch", (2, 18, 34))
+def test_killed_in_a_renewal_the_old_one_serves_at_once_and_then_the_new_one(tmp_path, batch):
+    @asyncio_test
+    async def run():
+        steps = range(batch, batch + 16, 2)
+        await asyncio.gather(*(killed(tmp_path / str(step), step, with_an_old_one) for step in steps))
+
+    run()
