An authority that breaks off within an answer counts as away, and keeps the order

Seen: tests of the HTTPS client with hostile servers showed that a connection which ended in the middle of an answer was called an unusable answer (http.py, h11's error at the end of the stream), and that kind forgets the order and the key. It is now "away", which keeps both.

--- a/saffrongw/certs/http.py
+++ b/saffrongw/certs/http.py
@@ -65,11 +65,18 @@
             writer.transport.abort()
 
     async def _read(self, http: h11.Connection, reader: asyncio.StreamReader, request: Request) -> Answer:
-        head, body = None, bytearray()
+        head, body, ended = None, bytearray(), False
         while True:
-            event = http.next_event()
+            try:
+                event = http.next_event()
+            except h11.RemoteProtocolError:
+                if ended:  # whoever goes in the middle of a word is away, and its order is not forgotten
+                    raise EOFError("the connection ended within the answer") from None
+                raise
             if event is h11.NEED_DATA:
-                http.receive_data(await reader.read(CHUNK))
+                data = await reader.read(CHUNK)
+                ended = not data
+                http.receive_data(data)
             elif isinstance(event, h11.Response):
                 head = event
             elif isinstance(event, h11.Data):
--- a/tests/certs/test_agent.py
+++ b/tests/certs/test_agent.py
@@ -8,6 +8,7 @@
 import pytest
 from certsite import DAY, NAME, FastClock, Member, table_of
 from conftest import asyncio_test, until
+from test_flow import SPOILT
 
 from saffrongw.certs.renewal import Alarm
 from saffrongw.certs.table import AuthorityTable, CertTable, RenewalTable
@@ -303,3 +304,32 @@
     files = [p for p in world.first.part.agent.store.folder.rglob("*") if p.is_file()]
     assert len(files) < 25
     await world.close()
+
+
+@asyncio_test
+async def test_spoilt_answers_leave_the_old_certificate_in_service_and_are_paused_after(tmp_path):
+    """Each of them through the whole agent over HTTPS: what is shown stays, and the next try lies ahead."""
+    world = await World(tmp_path, 20.0).open(**SLOW)
+    await world.first.serves()
+    agent, shown = world.first.part.agent, await world.first.shown()
+    for name, spoil in SPOILT:
+        before = agent.counts["orders"]
+        world.authority.authority.faults.spoil = lambda at, reply, name=name, spoil=spoil: (
+            spoil(reply) if at == name and reply.status < 300 else reply
+        )
+        agent.sessions.clear()
+        for path in agent.store.folder.rglob("account.json"):
+            path.unlink()  # else the account is not asked for again
+        agent.store.want(NAME)
+        agent.kick.set()
+        await until(lambda before=before: agent.counts["orders"] > before and not agent.busy)
+        failures = agent.store.note(NAME).failures
+        assert failures.count >= 1, name
+        assert failures.next_at > failures.at
+    assert await world.first.shown() == shown
+    assert agent.counts["obtained"] == 1
+    world.authority.authority.faults.spoil = None
+    agent.store.want(NAME)
+    agent.kick.set()
+    await until(lambda: agent.counts["obtained"] == 2)
+    await world.close()
--- /dev/null
+++ b/tests/certs/test_http.py
@@ -0,0 +1,120 @@
+"""An authority that is hostile below its protocol: bytes on the line, times, certificates of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import ssl
+
+import pytest
+import trustme
+from conftest import asyncio_test
+
+from saffrongw.certs.flow import Request
+from saffrongw.certs.http import BODY_MOST, HEAD_MOST, Https
+from saffrongw.certs.messages import AcmeError, Kind
+
+CA = trustme.CA()
+GOOD = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n"
+
+
+@contextlib.asynccontextmanager
+async def line(tmp_path, data: bytes, then=None, ca: trustme.CA = CA, within: float = 20.0):
+    """A server that says these bytes, and a way to ask it."""
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    ca.issue_cert("127.0.0.1").configure_cert(context)
+
+    async def serve(reader, writer) -> None:
+        with contextlib.suppress(OSError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(data)
+            if then:
+                await then(writer)
+            writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0, ssl=context)
+    port = server.sockets[0].getsockname()[1]
+    CA.cert_pem.write_to_path(str(tmp_path / "ca.pem"))
+    https = Https(str(tmp_path / "ca.pem"), within)
+    yield lambda: https.send(Request("GET", f"https://127.0.0.1:{port}/dir", "directory"))
+    server.close()
+
+
+async def endless(writer) -> None:
+    for _ in range(BODY_MOST // 65_536 + 8):
+        writer.write(b"x" * 65_536)
+        await writer.drain()
+
+
+async def silent(writer) -> None:
+    await asyncio.sleep(5)
+
+
+async def dripping(writer) -> None:
+    for _ in range(60):
+        writer.write(b"x")
+        await writer.drain()
+        await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize(
+    ("data", "then", "within", "kind", "said"),
+    [
+        (b"garbage\r\n\r\n", None, 20, Kind.UNUSABLE, "no HTTP"),
+        (b"HTTP/1.1 200 OK\r\nx: " + b"y" * (HEAD_MOST + 99), None, 20, Kind.UNUSABLE, "no HTTP"),
+        (b"HTTP/1.1 200 OK\r\ncontent-length: -1\r\n\r\n", None, 20, Kind.UNUSABLE, "no HTTP"),
+        (b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nab", None, 20, Kind.AWAY, "ended within"),
+        (b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n", None, 20, Kind.UNUSABLE, "no HTTP"),
+        (b"", None, 20, Kind.AWAY, "ended within"),
+        (b"HTTP/1.1 200 OK\r\n\r\n", endless, 20, Kind.UNUSABLE, "longer than"),
+        (b"", silent, 0.2, Kind.AWAY, "no answer within"),
+        (b"HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\n", dripping, 0.3, Kind.AWAY, "no answer within"),
+    ],
+)
+def test_what_is_no_answer_ends_in_its_own_error(tmp_path, data, then, within, kind, said):
+    @asyncio_test
+    async def run():
+        async with line(tmp_path, data, then, within=within) as ask:
+            with pytest.raises(AcmeError) as found:
+                await ask()
+            assert found.value.kind is kind
+            assert said in found.value.detail
+
+    run()
+
+
+@asyncio_test
+async def test_a_redirect_is_an_answer_and_is_not_followed(tmp_path):
+    async with line(
+        tmp_path, b"HTTP/1.1 302 Found\r\nlocation: https://x/\r\ncontent-length: 0\r\n\r\n"
+    ) as ask:
+        assert (await ask()).status == 302
+
+
+@asyncio_test
+async def test_one_whose_own_certificate_is_not_trusted_counts_as_away(tmp_path):
+    async with line(tmp_path, GOOD + b"\r\n{}", ca=trustme.CA()) as ask:
+        with pytest.raises(AcmeError) as found:
+            await ask()
+    assert found.value.kind is Kind.AWAY
+    assert "VERIFY" in found.value.detail.upper()
+
+
+@asyncio_test
+async def test_links_and_headers_are_read(tmp_path):
+    head = (
+        GOOD
+        + b'Link: <https://x/1>;rel="alternate", <https://x/2>; rel="alternate"\r\nLink: <https://x/3>;rel=next\r\n'
+    )
+    async with line(tmp_path, head + b"Replay-Nonce: abc\r\n\r\n{}") as ask:
+        answer = await ask()
+    assert answer.linked("alternate") == ["https://x/1", "https://x/2"]
+    assert answer.linked("next") == ["https://x/3"]
+    assert (answer.headers["replay-nonce"], answer.body) == ("abc", b"{}")
+
+
+@asyncio_test
+async def test_nobody_there_is_away():
+    with pytest.raises(AcmeError) as found:
+        await Https().send(Request("GET", "https://127.0.0.1:1/dir", "directory"))
+    assert found.value.kind is Kind.AWAY
