--- a/benchmarks/tls_cost.py
+++ b/benchmarks/tls_cost.py
@@ -1,8 +1,8 @@
 """What TLS costs: CPU of a gateway for a handshake (cold, resumed, while certificates are swapped) and for a request
 (over TLS against plain), and what clients lose while certificates are swapped under 300 requests a second.
 
-``python -m benchmarks.tls_cost [--rounds N]``. One gateway as a process, its CPU read from the process table; stand-in
-host and clients in this process. Ratios are of one run; rounds take turns.
+``python -m benchmarks.tls_cost [--rounds N] [--flood]``. One gateway as a process, its CPU read from the process
+table; stand-in host and clients in this process. Ratios are of one run; rounds take turns.
 """
 
 from __future__ import annotations
@@ -87,7 +87,8 @@
 class Rig:
     """The gateway, its folder of certificates, its host."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, share: float = 1.0, core: int | None = None) -> None:
+        self.share, self.core = share, core
         self.folder, self.plain, self.tls = folder, free_port(), free_port()
         self.store, self.issuer = Store(folder / "state"), Issuer(time.time())
         self.store.open()
@@ -117,7 +118,7 @@
         text["known"] = {"seq": 1, "whole": True, "hosts": hosts}
         (self.folder / "config.json").write_text(json.dumps(text))
         table = f'[certs]\nlisten = "127.0.0.1:{self.tls}"\nstate_dir = "{self.folder / "state"}"\n'
-        (self.folder / "operator.toml").write_text(table + "[certs.tls]\nshare = 1.0\n")
+        (self.folder / "operator.toml").write_text(table + f"[certs.tls]\nshare = {self.share}\n")
         self.process = subprocess.Popen(
             [sys.executable, "-m", "saffrongw"],
             cwd=ROOT,
@@ -126,11 +127,16 @@
                 "LB_CONFIG": str(self.folder / "config.json"),
                 "SAFFRONGW_OPERATOR": str(self.folder / "operator.toml"),
             },
-            preexec_fn=die_with_parent,
+            preexec_fn=self._alone,
         )
         while await asyncio.to_thread(self.visit) is None:
             await asyncio.sleep(0.1)
 
+    def _alone(self) -> None:
+        die_with_parent()
+        if self.core is not None:
+            os.sched_setaffinity(0, {self.core})
+
     def cpu(self) -> float:
         """Seconds of CPU that the gateway has used."""
         fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
@@ -254,6 +260,85 @@
         counts["dropped"] += sum(client.closed for client in kept)
         return counts
 
+    async def beside_a_flood(self, seconds: float, rate: float, floods: int) -> tuple[list[float], int, int]:
+        """Plain requests at a rate while so many clients do handshakes as fast as they may: latencies in ms, how many
+        were refused, handshakes."""
+        loop = asyncio.get_running_loop()
+        run = [
+            sys.executable,
+            "-m",
+            "benchmarks.tls_cost",
+            "--flooder",
+            str(self.tls),
+            "--seconds",
+            str(seconds),
+        ]
+        flooders = [
+            subprocess.Popen(run, cwd=ROOT, stdout=subprocess.PIPE, preexec_fn=die_with_parent)
+            for _ in range(floods)
+        ]
+        for flooder in flooders:
+            await asyncio.to_thread(flooder.stdout.readline)  # it has begun
+        clients = [(await loop.create_connection(Client, "127.0.0.1", self.plain))[1] for _ in range(20)]
+        free, latencies, refused, tasks = deque(clients), [], 0, set()
+
+        async def one(client: Client, number: int) -> None:
+            nonlocal refused
+            began = loop.time()
+            reply = await client.call(number)
+            if isinstance(reply, hiredis.ReplyError | None):
+                refused += 1
+            else:
+                latencies.append((loop.time() - began) * 1e3)
+            free.append(client)
+
+        began, at, late = loop.time(), 0, 0
+        while (now := loop.time() - began) < seconds:
+            while at < now * rate:
+                at += 1
+                self.number += 1
+                if free:
+                    tasks.add(asyncio.ensure_future(one(free.popleft(), self.number)))
+                else:
+                    late += 1
+            await asyncio.sleep(0.001)
+        await asyncio.gather(*tasks)
+        done = [(await asyncio.to_thread(flooder.communicate))[0] for flooder in flooders]
+        for client in clients:
+            client.transport.abort()
+        return latencies, refused + late, sum(map(int, done))
+
+
+def flooder(port: int, seconds: float) -> None:
+    """Handshakes one after another, as fast as they are let; their number."""
+    context, count, end = trusting(), 0, time.monotonic() + seconds
+    print("begun", flush=True)
+    while time.monotonic() < end:
+        try:
+            sock = socket.create_connection(("127.0.0.1", port), timeout=5)
+            with context.wrap_socket(sock, server_hostname=NAME):
+                count += 1
+        except OSError:
+            continue
+    print(count)
+
+
+async def flooded(seconds: float) -> None:
+    """A gateway on one core, 500 plain requests a second, with and without a flood of handshakes, by their share."""
+    print("share  flood  answered  refused or not begun   p50 ms   p99 ms  handshakes a second")
+    for share, floods in ((0.25, 0), (0.25, 5), (1.0, 5)):
+        with tempfile.TemporaryDirectory() as folder:
+            rig = Rig(Path(folder), share, max(os.sched_getaffinity(0)))
+            rig.swap()
+            await rig.start()
+            times, refused, shakes = await rig.beside_a_flood(seconds, 500.0, floods)
+            times.sort()
+            middle, high = times[len(times) // 2], times[int(len(times) * 0.99)]
+            row = f"{share:5}{floods:7}{len(times):10}{refused:22}{middle:9.1f}{high:9.1f}{shakes / seconds:21.0f}"
+            print(row, flush=True)
+            rig.process.send_signal(signal.SIGTERM)
+            rig.process.wait(10)
+
 
 async def main(rounds: int, seconds: float) -> None:
     with tempfile.TemporaryDirectory() as folder:
@@ -291,5 +376,9 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--rounds", type=int, default=5)
     parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--flood", action="store_true", help="only requests beside a flood of handshakes")
+    parser.add_argument("--flooder", type=int, default=0, help=argparse.SUPPRESS)
     given = parser.parse_args()
-    uvloop.run(main(given.rounds, given.seconds))
+    if given.flooder:
+        sys.exit(flooder(given.flooder, given.seconds))
+    uvloop.run(flooded(given.seconds) if given.flood else main(given.rounds, given.seconds))
--- a/tests/certs/test_wiring.py
+++ b/tests/certs/test_certs_table.py
@@ -13,7 +13,7 @@
 from certsite import NAME
 from conftest import asyncio_test, until
 from test_chain import csr
-from test_kills import DAY, ROOT, Site
+from test_order_kills import DAY, ROOT, Site
 
 from saffrongw.admin import cli
 from saffrongw.certs import chain, flow
