Read again: one reader of PEM, addresses, requests and reasons; dead code out

No behaviour changed.

Now once instead of twice: HOST:PORT (tomlform.ADDRESS, was in two tables), the first certificate of a PEM text (chain.der_of on chain.parse, was a second parser in flow), base64url and signing requests of the stand-in (issuer.unb64, request_of: model, a test and a benchmark had their own), reasons of revocation (table.REASONS), the default certificate (CertsTable.first), and in the tests how a client connects by TLS. Out: without_duty, a re-raise that nothing could reach, a condition that always held beside another.

--- a/benchmarks/tls_cost.py
+++ b/benchmarks/tls_cost.py
@@ -9,7 +9,6 @@
 
 import argparse
 import asyncio
-import base64
 import json
 import os
 import signal
@@ -26,12 +25,11 @@
 
 import hiredis
 import uvloop
-from cryptography import x509
 
-from saffrongw.certs import chain, flow
+from saffrongw.certs import chain
 from saffrongw.certs.documents import CertNote
 from saffrongw.certs.store import Store
-from standin.authority.issuer import Issuer
+from standin.authority.issuer import Issuer, request_of
 from standin.play.processes import die_with_parent, free_port
 
 ROOT = Path(__file__).parent.parent
@@ -97,11 +95,10 @@
     def swap(self) -> bytes:
         """Another certificate in service; as DER."""
         key, now = chain.new_key("ecdsa-p256"), time.time()
-        text = chain.csr(key, (NAME,))
-        csr = x509.load_der_x509_csr(base64.urlsafe_b64decode(text + "=" * (-len(text) % 4)))
+        csr = request_of(chain.csr(key, (NAME,)))
         pem = self.issuer.chain(self.issuer.sign(csr, [NAME], now - 60, now + 86_400 * 90))
         self.store.install(NAME, pem, key, CertNote(names=(NAME,), imported=True), None)
-        return flow.der_of(pem)
+        return chain.der_of(pem)
 
     async def start(self) -> None:
         sys.path.insert(0, str(ROOT / "tests"))
--- a/saffrongw/admin/certs.py
+++ b/saffrongw/admin/certs.py
@@ -15,17 +15,16 @@
 
 from saffrongw import operator
 from saffrongw.admin import unusable
-from saffrongw.certs import chain, flow, renewal
+from saffrongw.certs import chain, renewal
 from saffrongw.certs.agent import Agent, Row
 from saffrongw.certs.documents import CertNote, DocumentError
 from saffrongw.certs.front import Manner
 from saffrongw.certs.jose import AccountKey
 from saffrongw.certs.messages import AcmeError
 from saffrongw.certs.store import Store
-from saffrongw.certs.table import AuthorityTable, CertsTable
+from saffrongw.certs.table import REASONS, AuthorityTable, CertsTable
 from tomlform import FormError
 
-REASONS = {"unspecified": 0, "key-compromise": 1, "superseded": 4, "cessation": 5}  # RFC 5280, 5.3.1
 ALARM_STATUS = 1  # exit status of ``list`` where something is urgent
 
 
@@ -193,7 +192,7 @@
     pair = site.store.pair(given.id)
     if pair is None:
         return unusable(f"{given.id}: there is no certificate")
-    der = flow.der_of(site.store.files(pair)[0])
+    der = chain.der_of(site.store.files(pair)[0])
     place = _authority(site, given.authority)
     asyncio.run(_speak(site, place, lambda session: session.revoke(der, REASONS[given.reason])))
     site.store.drop_pending(given.id, None)
--- a/saffrongw/admin/cli.py
+++ b/saffrongw/admin/cli.py
@@ -11,6 +11,7 @@
 import tomlform
 from saffrongw import __version__, operator
 from saffrongw.admin import unusable
+from saffrongw.certs.table import REASONS
 from saffrongw.gateway import process
 from saffrongw.gateway.config import parse
 from saffrongw.wiring import plugs_of
@@ -99,8 +100,7 @@
         what.add_parser(name, help=about).add_argument("id")
     revoke = what.add_parser("revoke", help="tell the authority that it is not to be trusted")
     revoke.add_argument("id")
-    reasons = ("unspecified", "key-compromise", "superseded", "cessation")
-    revoke.add_argument("--reason", choices=reasons, default="unspecified")
+    revoke.add_argument("--reason", choices=REASONS, default="unspecified")
     roll = what.add_parser("rollover", help="give the account a new key")
     for one in (revoke, roll):
         one.add_argument(
--- a/saffrongw/certs/agent.py
+++ b/saffrongw/certs/agent.py
@@ -160,9 +160,7 @@
         self.table, self.me, self.clock, self.https = table, me, clock or Clock(), https
         terms = Terms(table.lease_seconds, table.clock_skew)
         self.store = Store(table.state_dir, self.clock.now, terms, step)
-        self.keeper = Keeper(
-            self.store, manner, table.default or (table.certificate[0].id if table.certificate else "")
-        )
+        self.keeper = Keeper(self.store, manner, table.first)
         self.pool = ThreadPoolExecutor(1, "certs")
         self.random = random.Random()
         self.term = 0
@@ -205,7 +203,7 @@
         """Another table from now on; orders that are out end by the old one."""
         self.table = table
         self.keeper.manner = manner
-        self.keeper.default = table.default or (table.certificate[0].id if table.certificate else "")
+        self.keeper.default = table.first
         self.sessions.clear()
         self.kick.set()
 
@@ -252,12 +250,7 @@
             try:
                 news = await self._off(self.store.news)
                 # Also without news now and then: what has ended may give way to what has not.
-                if (
-                    news != seen
-                    or self.keeper.manner is not manner
-                    or self.clock.now() - looked > 60
-                    or seen is None
-                ):
+                if news != seen or self.keeper.manner is not manner or self.clock.now() - looked > 60:
                     manner, looked = self.keeper.manner, self.clock.now()
                     await self._off(self.keeper.load)
                     seen = news
@@ -377,9 +370,8 @@
         async with self.opening.setdefault(place.directory, asyncio.Lock()):
             key, account = await self._off(self.store.account, place.directory, duty)
             session = self.sessions.get(place.directory)
-            if (
-                session is None or session.key.thumbprint != key.thumbprint
-            ):  # an operator changed it meanwhile
+            # An operator may have changed the key meanwhile.
+            if session is None or session.key.thumbprint != key.thumbprint:
                 session = Session(place.directory, key, self.clock.now, account.url if account else "")
                 session = await self._finish_key_change(session, https, duty)
                 if not session.account or (account and account.contact != place.contact):
@@ -466,8 +458,6 @@
             await self._off(self.keeper.load)
             self.unkept.pop(one.id, None)
             self.counts["obtained"] += 1
-        except asyncio.CancelledError:
-            raise
         except LostLease as wrong:
             log.warning("certs: %s: %s", one.id, wrong.detail)
         except (AcmeError, DocumentError, OSError) as wrong:
@@ -605,9 +595,8 @@
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
     context.minimum_version = ssl.TLSVersion.TLSv1_2
     context.set_alpn_protocols(["acme-tls/1"])
-    with tempfile.NamedTemporaryFile(
-        mode="wb"
-    ) as file:  # the library takes files only; the key is for this check
+    # The library takes files only; the key is for this check.
+    with tempfile.NamedTemporaryFile(mode="wb") as file:
         file.write(key + cert)
         file.flush()
         context.load_cert_chain(file.name)
--- a/saffrongw/certs/chain.py
+++ b/saffrongw/certs/chain.py
@@ -102,6 +102,11 @@
     return found
 
 
+def der_of(pem: bytes) -> bytes:
+    """The first certificate of a PEM text as DER; ``ChainError``."""
+    return parse(pem)[0].public_bytes(serialization.Encoding.DER)
+
+
 def names_of(leaf: x509.Certificate) -> tuple[str, ...]:
     """The names that it proves."""
     try:
--- a/saffrongw/certs/flow.py
+++ b/saffrongw/certs/flow.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import base64
 import json
 from collections.abc import Callable, Generator
 from dataclasses import dataclass, replace
@@ -392,9 +391,3 @@
         if wanted.issuer in issuers(found.body):
             return found.body
     return answer.body  # any chain is better than none; the rows in force name the issuer
-
-
-def der_of(pem: bytes) -> bytes:
-    """The first certificate of a PEM text as DER."""
-    body = pem.decode("ascii", "replace").partition("-----BEGIN CERTIFICATE-----")[2]
-    return base64.b64decode(body.partition("-----END")[0])
--- a/saffrongw/certs/part.py
+++ b/saffrongw/certs/part.py
@@ -5,7 +5,6 @@
 import os
 import socket
 from collections.abc import Callable
-from dataclasses import replace
 
 from saffrongw.gateway.config import address
 from saffrongw.gateway.driver import Driver
@@ -99,8 +98,3 @@
             (f"tls.{name.replace(' ', '_')}", self.front.counts[name]) for name in ("unknown name", "checks")
         ]
         return found
-
-
-def without_duty(table: CertsTable) -> CertsTable:
-    """The table of one that only serves what is there."""
-    return replace(table, certificate=(), authority=())
--- a/saffrongw/certs/table.py
+++ b/saffrongw/certs/table.py
@@ -6,15 +6,20 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from tomlform import key
+from tomlform import ADDRESS, key
 
-ADDRESS = r"[A-Za-z0-9.\-]{1,253}:[0-9]{1,5}"
 NAME = r"(?=.{1,253}\Z)([a-z0-9_]([a-z0-9_\-]{0,61}[a-z0-9])?\.)*[a-z0-9_]([a-z0-9_\-]{0,61}[a-z0-9])?"
 URL = r"https://[!-~]{1,2000}"
 KEYS = ("ecdsa-p256", "ecdsa-p384", "rsa-2048")
 CHALLENGES = ("tls-alpn-01", "http-01")
 NAMES_MOST = 100  # of one certificate: authorities allow no more
 CERTS_MOST = 1_000  # contexts are kept for all
+REASONS = {
+    "unspecified": 0,
+    "key-compromise": 1,
+    "superseded": 4,
+    "cessation": 5,
+}  # of revocation: RFC 5280, 5.3.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,3 +127,8 @@
             raise ValueError("http-01 needs http_listen")
         if self.default and self.default not in ids and self.certificate:
             raise ValueError(f"default: {self.default!r} names no certificate")
+
+    @property
+    def first(self) -> str:
+        """The certificate for clients that name none; empty: whichever there is."""
+        return self.default or (self.certificate[0].id if self.certificate else "")
--- a/saffrongw/gateway/operations.py
+++ b/saffrongw/gateway/operations.py
@@ -11,6 +11,7 @@
 from .config import Config
 from .driver import Driver
 from .figures import text
+from .plug import Lines
 
 SOURCE = "operator"
 EXCLUDED_MOST = 4_096  # hosts taken out at once: each is remembered, listed or not
@@ -22,7 +23,7 @@
     def __init__(self, driver: Driver, clients: Clients, config: Config) -> None:
         self.driver, self.clients, self.config = driver, clients, config
         self.serving = False
-        self.more: tuple[Callable[[], list[tuple[str, int]]], ...] = ()  # figures of what is plugged in
+        self.more: tuple[Lines, ...] = ()  # figures of what is plugged in
         self.tell: Callable[..., object] = lambda *message: None  # the other process of an upgrade
 
     def able(self) -> bool:
--- a/saffrongw/operator/file.py
+++ b/saffrongw/operator/file.py
@@ -7,9 +7,8 @@
 
 import tomlform
 from saffrongw.certs.table import CertsTable
-from tomlform import key
+from tomlform import ADDRESS, key
 
-ADDRESS = r"[A-Za-z0-9.\-]{1,253}:[0-9]{1,5}"
 MODES = ("open", "closed")
 
 
--- a/standin/authority/issuer.py
+++ b/standin/authority/issuer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 from datetime import UTC, datetime
 
 from cryptography import x509
@@ -13,6 +14,16 @@
 PEM = serialization.Encoding.PEM
 
 
+def unb64(text: str) -> bytes:
+    """Base64url with or without its padding."""
+    return base64.urlsafe_b64decode(text + "=" * (-len(text) % 4))
+
+
+def request_of(text: str) -> x509.CertificateSigningRequest:
+    """A signing request as ACME carries it; ``ValueError``."""
+    return x509.load_der_x509_csr(unb64(text))
+
+
 def _name(text: str) -> x509.Name:
     return x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, text)])
 
--- a/standin/authority/model.py
+++ b/standin/authority/model.py
@@ -21,7 +21,7 @@
 from jwcrypto import jwk, jws
 from jwcrypto.common import JWException
 
-from .issuer import Issuer
+from .issuer import Issuer, request_of, unb64
 
 ERROR = "urn:ietf:params:acme:error:"
 NONCES_MOST = 10_000
@@ -212,8 +212,8 @@
         """A JWS as RFC 8555, 6.2 wants it: who signed what for which URL, with a nonce that is good once."""
         try:
             outer = json.loads(body)
-            head = json.loads(_unb64(outer["protected"]))
-            raw = _unb64(outer["payload"])
+            head = json.loads(unb64(outer["protected"]))
+            raw = unb64(outer["payload"])
             if "header" in outer or "signatures" in outer:
                 raise ValueError("more than the flattened form")
         except (ValueError, KeyError, TypeError) as wrong:
@@ -292,7 +292,7 @@
     def _bound(self, binding: Any, key: jwk.JWK) -> None:
         if not binding:
             raise Problem(403, "externalAccountRequired", "an external account is needed")
-        head = json.loads(_unb64(binding["protected"]))
+        head = json.loads(unb64(binding["protected"]))
         secret = self.external.get(head.get("kid"))
         if secret is None or head.get("url") != self._url("new-account") or "nonce" in head:
             raise Problem(403, "unauthorized", "no such external account")
@@ -447,7 +447,7 @@
         if order.status != "ready":
             raise Problem(403, "orderNotReady", f"the order is {order.status}")
         try:
-            csr = x509.load_der_x509_csr(_unb64(payload["csr"]))
+            csr = request_of(payload["csr"])
             asked = csr.extensions.get_extension_for_class(x509.SubjectAlternativeName).value
             names = [n.lower() for n in asked.get_values_for_type(x509.DNSName)]
         except (ValueError, KeyError, TypeError, x509.ExtensionNotFound) as wrong:
@@ -492,7 +492,7 @@
         return self._json(200, text, **{"retry-after": self.faults.retry_after or "21600"})
 
     def _revoke(self, payload: Any) -> Reply:
-        der = _unb64(payload["certificate"])
+        der = unb64(payload["certificate"])
         for number, leaf in self.certificates.items():
             if leaf.public_bytes(serialization.Encoding.DER) == der:
                 if number in self.revoked:
@@ -503,10 +503,10 @@
 
     def _key_change(self, account: _Account, payload: Any) -> Reply:
         inner = json.dumps(payload).encode()
-        head = json.loads(_unb64(payload["protected"]))
+        head = json.loads(unb64(payload["protected"]))
         key = jwk.JWK(**head["jwk"])
         self._verify(inner, key)
-        said = json.loads(_unb64(payload["payload"]))
+        said = json.loads(unb64(payload["payload"]))
         if (
             said["account"] != account.place
             or jwk.JWK(**said["oldKey"]).thumbprint() != account.key.thumbprint()
@@ -534,9 +534,5 @@
     return leaf.fingerprint(hashes.SHA256()).hex()
 
 
-def _unb64(text: str) -> bytes:
-    return base64.urlsafe_b64decode(text + "=" * (-len(text) % 4))
-
-
 def _text(at: float) -> str:
     return datetime.fromtimestamp(at, UTC).isoformat().replace("+00:00", "Z")
--- a/tests/certs/certsite.py
+++ b/tests/certs/certsite.py
@@ -68,25 +68,31 @@
     def tls_port(self) -> int:
         return self.part.front.listener.getsockname()[1]
 
-    async def caller(self, name: str | None = NAME, context: ssl.SSLContext | None = None) -> Caller:
-        """A client's connection by TLS; its certificate is not verified here."""
-        loop = asyncio.get_running_loop()
-        _, caller = await loop.create_connection(
-            Caller, "127.0.0.1", self.tls_port, ssl=context or trusting(), server_hostname=name or ""
-        )
-        return caller
+    async def caller(self, name: str | None = NAME) -> Caller:
+        return await secure_caller(self.tls_port, name)
 
     async def shown(self, name: str | None = NAME) -> bytes:
-        """The certificate that a new client is shown, as DER."""
-        caller = await self.caller(name)
-        found = caller.transport.get_extra_info("ssl_object").getpeercert(binary_form=True)
-        caller.transport.abort()
-        return found
+        return await shown_at(self.tls_port, name)
 
     async def serves(self, within: float = 20.0) -> None:
         await until(lambda: NAME in self.part.agent.keeper.names.contexts, within)
 
 
+async def secure_caller(port: int, name: str | None, context: ssl.SSLContext | None = None) -> Caller:
+    """A client's connection by TLS; the certificate is not verified here."""
+    loop, tls = asyncio.get_running_loop(), context or trusting()
+    made = await loop.create_connection(Caller, "127.0.0.1", port, ssl=tls, server_hostname=name or "")
+    return made[1]
+
+
+async def shown_at(port: int, name: str | None) -> bytes:
+    """The certificate that a new client is shown, as DER."""
+    caller = await secure_caller(port, name)
+    found = caller.transport.get_extra_info("ssl_object").getpeercert(binary_form=True)
+    caller.transport.abort()
+    return found
+
+
 def trusting() -> ssl.SSLContext:
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
     context.check_hostname, context.verify_mode = False, ssl.CERT_NONE
--- a/tests/certs/test_agent.py
+++ b/tests/certs/test_agent.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import json
 
 import pytest
 from certsite import DAY, NAME, FastClock, Member, table_of
@@ -133,7 +134,7 @@
     await until(lambda: world.counts["POST authz"] >= 1)
     store = agent.store
     taken = dataclasses.replace(store.lease(), holder="other", term=7, until=world.clock.now() + 3)
-    store._write(store.folder / "lease.json", __import__("json").dumps(dataclasses.asdict(taken)).encode())
+    store._write(store.folder / "lease.json", json.dumps(dataclasses.asdict(taken)).encode())
     await until(lambda: agent.counts["obtained"] == 1, 30)
     assert store.lease().term == 8  # taken again, after the other's end
     assert store.pair(NAME) is not None
--- a/tests/certs/test_certs_table.py
+++ b/tests/certs/test_certs_table.py
@@ -16,7 +16,7 @@
 from test_order_kills import DAY, ROOT, Site
 
 from saffrongw.admin import cli
-from saffrongw.certs import chain, flow
+from saffrongw.certs import chain
 from saffrongw.certs.documents import CertNote
 from saffrongw.certs.renewal import Failures
 from saffrongw.certs.store import Store
@@ -120,7 +120,7 @@
     (tmp_path / "own.key").write_bytes(key)
     files = ("--cert", str(tmp_path / "own.pem"), "--key", str(tmp_path / "own.key"))
     assert (await said(*operator, "import", *files))[0] == 0
-    assert await site.shown(third) == flow.der_of(own)
+    assert await site.shown(third) == chain.der_of(own)
     (tmp_path / "other.key").write_bytes(chain.new_key("ecdsa-p256"))
     code, _, err = await said(*operator, "import", *files[:3], str(tmp_path / "other.key"))
     assert code == 2 and "another key" in err
--- a/tests/certs/test_chain.py
+++ b/tests/certs/test_chain.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+from datetime import UTC, datetime, timedelta
+
 import pytest
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec, ed25519
 
 from saffrongw.certs import chain
-from standin.authority.issuer import Issuer
+from standin.authority.issuer import Issuer, request_of
 from standin.authority.model import ari_name
 
 NOW = 1_800_000_000.0
@@ -19,10 +21,7 @@
 
 
 def csr(key: bytes = KEY) -> x509.CertificateSigningRequest:
-    import base64
-
-    text = chain.csr(key, NAMES)
-    return x509.load_der_x509_csr(base64.urlsafe_b64decode(text + "=" * (-len(text) % 4)))
+    return request_of(chain.csr(key, NAMES))
 
 
 def issued(key: bytes = KEY, start=NOW - DAY, end=NOW + DAY, names=NAMES, other=None) -> bytes:
@@ -122,8 +121,6 @@
 
 
 def test_the_proof_of_a_name_has_its_digest():
-    from datetime import UTC, datetime, timedelta
-
     now = datetime.now(UTC)
     cert, _ = chain.proof("gw.example", b"d" * 32, now, now + timedelta(days=1))
     found = x509.load_pem_x509_certificate(cert)
--- a/tests/certs/test_flow.py
+++ b/tests/certs/test_flow.py
@@ -237,7 +237,7 @@
 def test_a_certificate_is_revoked_once():
     world = World()
     session = world.session()
-    der = flow.der_of(world.obtain(session))
+    der = chain.der_of(world.obtain(session))
     world.run(session.revoke(der, 4))
     assert world.authority.revoked == {"1": 4}
     with pytest.raises(AcmeError, match="alreadyRevoked"):
--- a/tests/certs/test_front.py
+++ b/tests/certs/test_front.py
@@ -11,8 +11,10 @@
 
 import pytest
 import trustme
-from certsite import trusting
+from certsite import secure_caller, shown_at, trusting
 from conftest import Caller, FakeHost, Rig, asyncio_test, until
+from cryptography import x509
+from test_chain import csr
 from test_hello import real
 
 from saffrongw.certs import chain
@@ -47,8 +49,6 @@
     def install(self, *names: str, days: float = 1.0) -> int:
         """A new certificate; its serial number."""
         key = chain.new_key("ecdsa-p256")
-        from test_chain import csr
-
         leaf = self.issuer.sign(csr(key), list(names), time.time() - 60, time.time() + days * DAY)
         self.store.install(names[0].replace("*.", ""), self.issuer.chain(leaf), key, CertNote(names), None)
         self.keeper.load()
@@ -67,19 +67,10 @@
         return self.front.listener.getsockname()[1]
 
     async def caller(self, name: str | None = "a.example", context=None) -> Caller:
-        loop = asyncio.get_running_loop()
-        made = await loop.create_connection(
-            Caller, "127.0.0.1", self.port, ssl=context or trusting(), server_hostname=name or ""
-        )
-        return made[1]
+        return await secure_caller(self.port, name, context)
 
     async def serial(self, name: str | None = "a.example") -> int:
-        from cryptography import x509
-
-        caller = await self.caller(name)
-        der = caller.transport.get_extra_info("ssl_object").getpeercert(binary_form=True)
-        caller.transport.abort()
-        return x509.load_der_x509_certificate(der).serial_number
+        return x509.load_der_x509_certificate(await shown_at(self.port, name)).serial_number
 
     def raw(self) -> socket.socket:
         return socket.create_connection(("127.0.0.1", self.port))
--- a/tests/certs/test_order_kills.py
+++ b/tests/certs/test_order_kills.py
@@ -15,7 +15,7 @@
 from conftest import asyncio_test, configured
 from test_chain import csr
 
-from saffrongw.certs import chain, flow
+from saffrongw.certs import chain
 from saffrongw.certs.documents import CertNote
 from saffrongw.certs.store import Store
 from standin.authority.issuer import Issuer
@@ -141,7 +141,7 @@
     issuer = Issuer(now)
     old = issuer.chain(issuer.sign(csr(key), [NAME], now - 80 * DAY, now + 10 * DAY))
     store.install(NAME, old, key, CertNote(names=(NAME,)), None)
-    return flow.der_of(old)
+    return chain.der_of(old)
 
 
 @pytest.mark.parametrize("batch", (2, 18, 34))
--- a/tomlform/__init__.py
+++ b/tomlform/__init__.py
@@ -16,6 +16,7 @@
 from pathlib import Path
 from typing import Any, TypeVar
 
+ADDRESS = r"[A-Za-z0-9.\-]{1,253}:[0-9]{1,5}"  # HOST:PORT, as a ``form``
 T = TypeVar("T")
 Place = tuple[str | int, ...]  # keys and indexes from the top of the file
 
