A renewal asked for by hand is no longer lost beside the question for the window

Looked at: the log has no failed order, so none was begun; lease and pauses excluded (both lie far from 10 s). To blame: _ask_window, _failed and the Keep step (agent.py) wrote back a whole note that they had read before a request to the authority, over what `saffrongw certs renew` had written meanwhile.

Changed: a note is only ever changed by Store.amend, read and written under one lock; each writer changes its own fields. `keep` is gone.

--- a/saffrongw/certs/agent.py
+++ b/saffrongw/certs/agent.py
@@ -420,7 +420,7 @@
             self.window_at[one.id] = self.clock.now() + renewal.HOUR
         else:
             with contextlib.suppress(AcmeError):
-                await self._off(self.store.keep, one.id, replace(note, window=window), duty)
+                await self._off(self.store.amend, one.id, lambda kept: replace(kept, window=window), duty)
 
     async def _order(self, one: CertTable) -> None:
         """From what was reached to a certificate in service; a failure is kept with the time of the next try."""
@@ -497,17 +497,20 @@
         )
         keeps = kind in (Kind.AWAY, Kind.RATE, Kind.LOCAL)
         order = note.order if keeps and failures.authority == note.failures.authority else None
-        kept = replace(note, failures=failures, order=order)
+
+        def keep(kept: CertNote) -> CertNote:
+            return replace(kept, failures=failures, order=order)
+
         try:
             if kind in (Kind.UNUSABLE, Kind.REJECTED):
                 await self._off(self.store.drop_pending, one.id, duty)
             if kind is Kind.ACCOUNT:
                 await self._off(self.store.lose_account, place.directory, duty)
-            await self._off(self.store.keep, one.id, kept, duty)
+            await self._off(self.store.amend, one.id, keep, duty)
         except (AcmeError, OSError) as also:  # the disk is full, or the lease is lost
             log.warning("certs: %s: %s", one.id, also)
             self.unkept[one.id] = failures
-        self.notes[one.id] = kept
+        self.notes[one.id] = keep(note)
 
     # -- steps ----------------------------------------------------------------------------------------------------
 
@@ -534,7 +537,8 @@
             self.store.step(f"asked {step.read}")
             return answer
         if isinstance(step, Keep):
-            await self._off(self.store.keep, id, step.note, duty)
+            order = step.note.order  # all that a flow changes
+            await self._off(self.store.amend, id, lambda kept: replace(kept, order=order), duty)
         elif isinstance(step, Publish):
             until = self.clock.now() + CHALLENGE_FOR
             proof = Proof(step.name, step.type, step.token, step.authorisation, until)
--- a/saffrongw/certs/store.py
+++ b/saffrongw/certs/store.py
@@ -331,11 +331,16 @@
         raw = self._read(path)
         return CertNote() if raw is None else documents.cert(raw, str(path))
 
-    def keep(self, id: str, note: CertNote, duty: tuple[str, int] | None) -> None:
-        """Durable before the next step."""
+    def amend(self, id: str, change: Callable[[CertNote], CertNote], duty: tuple[str, int] | None) -> None:
+        """Change what is kept of it, durable before the next step. Read and written under one lock, so that what an
+        operator and an order write at the same time both hold. One that makes no sense begins anew."""
         with self._under(duty):
+            try:
+                note = self.note(id)
+            except DocumentError:
+                note = CertNote()
             self._folder(id)
-            self._write(self._cert(id) / "note.json", documents.dump(note))
+            self._write(self._cert(id) / "note.json", documents.dump(change(note)))
 
     def _folder(self, id: str) -> None:
         try:
@@ -501,8 +506,10 @@
 
     def want(self, id: str) -> None:
         """An operator wants it renewed now."""
-        with self._locked():
-            note = self.note(id)
-            self._folder(id)
-            ordered = replace(note, wanted=True, failures=replace(note.failures, next_at=0.0, forced=False))
-            self._write(self._cert(id) / "note.json", documents.dump(ordered))
+        self.amend(
+            id,
+            lambda note: replace(
+                note, wanted=True, failures=replace(note.failures, next_at=0.0, forced=False)
+            ),
+            None,
+        )
--- a/tests/certs/test_agent.py
+++ b/tests/certs/test_agent.py
@@ -334,3 +334,17 @@
     agent.kick.set()
     await until(lambda: agent.counts["obtained"] == 2)
     await world.close()
+
+
+@asyncio_test
+async def test_what_an_operator_asks_for_while_the_window_is_asked_for_is_not_lost(tmp_path):
+    """The answer about the window once wrote back the note as it had been before."""
+    world = World(tmp_path)
+    world.authority.delay = 0.2
+    await world.open()
+    agent = world.first.part.agent
+    await until(lambda: agent.counts["obtained"] == 1, 30)
+    await until(lambda: NAME in agent.busy)  # the window
+    agent.store.want(NAME)
+    await until(lambda: agent.counts["obtained"] == 2, 30)
+    await world.close()
--- a/tests/certs/test_folder.py
+++ b/tests/certs/test_folder.py
@@ -77,7 +77,7 @@
         Window(NOW, NOW + DAY, NOW + 60),
         True,
     )
-    world.store.keep(ID, note, world.duty)
+    world.store.amend(ID, lambda _: note, world.duty)
     assert world.store.note(ID) == note
     assert world.store.note("unknown") == CertNote()
 
@@ -109,11 +109,11 @@
 
 def test_who_lost_the_lease_writes_nothing(world):
     before = CertNote(names=("before",))
-    world.store.keep(ID, before, world.duty)
+    world.store.amend(ID, lambda _: before, world.duty)
     world.now += 60
     assert world.store.take_duty("b")[0] == 2
     for write in (
-        lambda: world.store.keep(ID, CertNote(), world.duty),
+        lambda: world.store.amend(ID, lambda _: CertNote(), world.duty),
         lambda: world.store.pending_key(ID, "ecdsa-p256", world.duty),
         lambda: world.store.install(ID, issued(), KEY, CertNote(), world.duty),
         lambda: world.store.publish(Proof(ID, "http-01", "token1234", "x", NOW), world.duty),
@@ -282,7 +282,7 @@
 @pytest.mark.parametrize("id", ["", "../x", "a/b", ".", "-x", "x" * 200, "A B"])
 def test_no_name_leads_out_of_the_folder(world, id):
     with pytest.raises(StoreError, match="can't name"):
-        world.store.keep(id, CertNote(), world.duty)
+        world.store.amend(id, lambda _: CertNote(), world.duty)
 
 
 def test_an_accounts_key_is_made_once_and_set_aside_when_it_is_gone(world):
@@ -321,12 +321,12 @@
         within, module.LOCK_WITHIN = module.LOCK_WITHIN, 0.1
         try:
             with pytest.raises(StoreError, match="locked"):
-                world.store.keep(ID, CertNote(), world.duty)
+                world.store.amend(ID, lambda _: CertNote(), world.duty)
         finally:
             module.LOCK_WITHIN = within
         other.kill()  # a holder that dies lets go
         other.wait()
-        world.store.keep(ID, CertNote(), world.duty)
+        world.store.amend(ID, lambda _: CertNote(), world.duty)
     finally:
         other.kill()
         other.wait()
