Leases by a majority of voters: pure machines, a signed channel, tasks, a virtual clock

Now a few voters grant leases by the diskless lease agreement (PaxosLease), bounded by local monotonic clocks alone; numbers that only grow go out with each call. saffrongw/leases decides without I/O, saffrongw/channel signs datagrams, part.py drives both; [channel] and [leases] of the operator file switch them on, nothing is loaded without them. standin/fleet plays any pure machine on one virtual clock and walks all interleavings of small cases.

--- /dev/null
+++ b/benchmarks/fleet/lease_days.py
@@ -0,0 +1,316 @@
+"""Days of leases under drawn faults, how fast a lease is taken over, and what it costs in messages.
+
+    python -m benchmarks.fleet.lease_days days --count 10000 --jobs 8
+    python -m benchmarks.fleet.lease_days takeover --count 200
+    python -m benchmarks.fleet.lease_days traffic
+
+A day is 120 s of the virtual clock, with 5 voters and 20 askers, leases of 5 s, and faults from 20 s to 90 s.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+import time
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+
+from rich.console import Console
+from rich.table import Table
+
+from benchmarks.fleet.leases import Field
+from saffrongw.leases.spec import Spec
+from saffrongw.leases.standing import shard_name
+from saffrongw.leases.timing import SECOND, Timing
+from standin.fleet.clock import Link
+
+DAY, FROM, UNTIL = 120 * SECOND, 20 * SECOND, 90 * SECOND
+SPECS = tuple(
+    Spec(f"{once}-{n}", (2 + n) * SECOND, once, SECOND // 2)
+    for once in ("at-least", "at-most")
+    for n in range(2)
+)
+
+
+class Faults:
+    """Kinds of faults; each draws its own times and places."""
+
+    def __init__(self, field: Field, draw: random.Random) -> None:
+        self.field, self.draw, self.fleet = field, draw, field.fleet
+
+    def span(self, least: float, most: float) -> tuple[int, int]:
+        """From when to when."""
+        length = int(self.draw.uniform(least, most) * SECOND)
+        begin = self.draw.randrange(FROM, max(FROM + 1, UNTIL - length))
+        return begin, begin + length
+
+    def _links(self, begin: int, end: int, **changes) -> None:
+        fleet, plain = self.fleet, self.fleet.plain
+
+        def put(values: dict) -> None:
+            for name, value in values.items():
+                setattr(plain, name, value)
+                for link in fleet.links.values():
+                    setattr(link, name, value)
+
+        before = {name: getattr(plain, name) for name in changes}
+        fleet.at(begin, lambda: put(changes))
+        fleet.at(end, lambda: put(before))
+
+    def loss(self) -> None:
+        """A third of all messages."""
+        self._links(*self.span(5, 40), loss=self.draw.uniform(0.1, 0.4))
+
+    def noise(self) -> None:
+        """Doubled and out of order."""
+        self._links(*self.span(5, 40), double=0.3, reorder=0.3, reorder_by=SECOND)
+
+    def delay(self) -> None:
+        """Each message takes up to ten seconds."""
+        most = int(self.draw.uniform(0.2, 10) * SECOND)
+        self._links(*self.span(5, 30), delay=(0, most))
+
+    def _sides(self) -> list[list[str]]:
+        names = list(self.field.names)
+        self.draw.shuffle(names)
+        at = self.draw.randrange(1, len(names))
+        return [names[:at], names[at:]]
+
+    def split(self, one_way: bool = False) -> None:
+        """Two sides that do not hear each other."""
+        begin, end = self.span(5, 40)
+        sides = self._sides()
+        self.fleet.at(begin, lambda: self.fleet.at(end, self.fleet.split(sides, one_way)))
+
+    def one_way(self) -> None:
+        """One side hears the other, and is not heard."""
+        self.split(True)
+
+    def _some(self) -> list[str]:
+        return self.draw.sample(self.field.names, self.draw.randint(1, len(self.field.names)))
+
+    def stop(self) -> None:
+        """Some stand still, for shorter or longer than a lease."""
+        begin, end = self.span(0.5, 20)
+        for name in self._some():
+            self.fleet.at(begin, lambda name=name: self.fleet.stop(name))
+            self.fleet.at(end + self.draw.randrange(SECOND), lambda name=name: self.fleet.go_on(name))
+
+    def kill(self) -> None:
+        """Some are killed and start anew, each by itself."""
+        for name in self._some():
+            begin, end = self.span(0.1, 10)
+            self.fleet.at(begin, lambda name=name: self.fleet.kill(name))
+            self.fleet.at(end, lambda name=name: self.fleet.start(name))
+
+    def all_voters(self) -> None:
+        """All voters at once."""
+        begin, end = self.span(0.1, 3)
+        for name in self.field.voters:
+            self.fleet.at(begin, lambda name=name: self.fleet.kill(name))
+            self.fleet.at(end, lambda name=name: self.fleet.start(name))
+
+    def drain(self) -> None:
+        """Some drain, end and start anew."""
+        for name in self._some():
+            begin, end = self.span(0.5, 5)
+            self.fleet.at(begin, lambda name=name: self.fleet.call(name, lambda node, now: node.leave(now)))
+            self.fleet.at(begin + SECOND // 5, lambda name=name: self.fleet.kill(name))
+            self.fleet.at(end, lambda name=name: self.fleet.start(name))
+
+    def clock_back(self) -> None:
+        """Wall clocks of a few machines, voters among them, go back an hour, and what runs there starts anew."""
+        begin, _ = self.span(1, 2)
+        for name in self.draw.sample(self.field.names, 8):
+            self.fleet.at(begin, lambda name=name: self.field.walls.__setitem__(name, -3_600 * SECOND))
+            # What runs has its own base: it shows at the next start.
+            self.fleet.at(begin + SECOND, lambda name=name: self.fleet.kill(name))
+            self.fleet.at(begin + 2 * SECOND, lambda name=name: self.fleet.start(name))
+
+    def receiver(self) -> None:
+        """The receiver is away, and half of its answers are lost."""
+        begin, end = self.span(5, 20)
+
+        def away() -> None:
+            self.field.receiver.away_until, self.field.answers_lost = end, 0.5
+
+        self.fleet.at(begin, away)
+        self.fleet.at(end + 10 * SECOND, lambda: setattr(self.field, "answers_lost", 0.0))
+
+
+KINDS = (
+    *(
+        "loss",
+        "noise",
+        "delay",
+        "split",
+        "one_way",
+        "stop",
+        "kill",
+        "all_voters",
+        "drain",
+        "clock_back",
+        "receiver",
+    ),
+)
+
+
+def day(
+    seed: str, kinds: tuple[str, ...] | None = None, plant: Callable[[Field], None] | None = None
+) -> tuple:
+    """One day: its kinds of faults, its field, its turns."""
+    draw = random.Random(seed)
+    timing = Timing(5 * SECOND, 0.01)
+    field = Field(seed, 5, 20, 2, timing, SPECS, Link(delay=(200, draw.choice((2_000, 20_000, 100_000)))))
+    if plant:
+        plant(field)
+    faults = Faults(field, draw)
+    kinds = kinds if kinds is not None else tuple(draw.sample(KINDS, draw.choice((1, 1, 2, 3))))
+    for kind in kinds:
+        getattr(faults, kind)()
+    field.fleet.run(DAY)
+    return kinds, field, field.turns(DAY - 5 * SECOND, 12 * SECOND)
+
+
+def judged(seed: str) -> tuple[tuple[str, ...], list[str], Counter[str], int]:
+    """For another process: kinds, breaches in words, turns by promise, gains."""
+    kinds, field, turns = day(seed)
+    tally: Counter[str] = Counter(turns)
+    most = Counter(
+        (c.task, c.turn) for c in field.receiver.calls if c.accepted and c.task.startswith("at-most")
+    )
+    tally["at-most repeated"] = sum(n - 1 for n in most.values())
+    return kinds, [f"{seed}: {b.at / 1e6:.3f} s: {b.what}" for b in field.breaches], tally, len(field.gains)
+
+
+def days(count: int, jobs: int, first: int) -> int:
+    """Many days; a table by kind of fault. 1 where something overlapped."""
+    began, totals, by_kind, breaches = time.monotonic(), Counter(), defaultdict(Counter), []
+    with ProcessPoolExecutor(jobs) as pool:
+        seeds = [f"day {n}" for n in range(first, first + count)]
+        for kinds, wrong, tally, gains in pool.map(judged, seeds, chunksize=8):
+            breaches += wrong
+            for bucket in (totals, by_kind[kinds[0] if len(kinds) == 1 else f"{len(kinds)} kinds at once"]):
+                bucket.update(tally)
+                bucket["days"] += 1
+                bucket["gains"] += gains
+                bucket["overlaps"] += len(wrong)
+    table = Table(
+        title=f"{count} days, 5 voters, 20 askers, leases of 5 s; {time.monotonic() - began:.0f} s on {jobs} cores"
+    )
+    columns = (
+        "days",
+        "gains",
+        "overlaps",
+        "turns",
+        "missed",
+        "repeated",
+        "at-most repeated",
+        "older accepted",
+    )
+    table.add_column("fault")
+    for name in columns:
+        table.add_column(name, justify="right")
+    for kind, bucket in [*sorted(by_kind.items()), ("all", totals)]:
+        table.add_row(kind, *(str(bucket[name]) for name in columns))
+    Console(width=140).print(table)
+    for line in breaches[:20]:
+        print(line)
+    return 1 if breaches else 0
+
+
+def percentile(some: list[float], part: float) -> float:
+    """Of an unsorted list."""
+    return sorted(some)[min(len(some) - 1, int(len(some) * part))]
+
+
+def taken_over(seed: str, how: str) -> float:
+    """Seconds from a holder's end to the next one's beginning."""
+    draw = random.Random(seed)
+    field = Field(seed, 3, 5, 1, Timing(5 * SECOND, 0.01), (), Link(delay=(200, 5_000)))
+    fleet, lease = field.fleet, shard_name(0, 1)
+    fleet.run(int(draw.uniform(20, 30) * SECOND))
+    holder, at, before = field.holder(lease), fleet.now, len(field.gains)
+    if how == "kill":
+        fleet.kill(holder)
+    elif how == "drain":
+        fleet.call(holder, lambda node, now: node.leave(now))
+    else:  # cut off with less than a majority
+        others = [name for name in field.names if name != holder]
+        fleet.split([[holder], others])
+    fleet.run(at + 30 * SECOND)
+    assert not field.breaches, field.breaches
+    return (field.gains[before][0] - at) / SECOND
+
+
+def takeover(count: int) -> int:
+    """A table of three ways to lose a holder."""
+    table = Table(title=f"a lease of 5 s taken over, seconds, {count} seeds each")
+    for name in ("holder", "p50", "p90", "p99", "most"):
+        table.add_column(name, justify="right")
+    for how in ("kill", "drain", "cut off"):
+        took = [taken_over(f"{how} {n}", how) for n in range(count)]
+        table.add_row(how, *(f"{percentile(took, p):.3f}" for p in (0.5, 0.9, 0.99, 1.0)))
+    Console(width=100).print(table)
+    return 0
+
+
+def traffic() -> int:
+    """Messages and bytes a second, by gateways and tasks, at rest."""
+    table = Table(title="at rest, leases of 10 s: datagrams and bytes a second sent, 3 voters")
+    for name in (
+        "gateways",
+        "tasks",
+        "shards",
+        "a gateway",
+        "bytes",
+        "a voter sends",
+        "it gets",
+        "us a datagram",
+    ):
+        table.add_column(name, justify="right")
+    for gateways in (3, 20, 200):
+        for tasks, shards in ((1, 1), (50, 16), (500, 32)):
+            specs = tuple(Spec(f"t{n}", 60 * SECOND) for n in range(tasks))
+            link = Link(delay=(200, 2_000))
+            field = Field("traffic", 3, gateways - 3, shards, Timing(), specs, link, True)
+            fleet = field.fleet
+            fleet.run(120 * SECOND)
+            counts, sent, got = fleet.counts.copy(), fleet.sent.copy(), fleet.got.copy()
+            began = time.perf_counter()
+            fleet.run(240 * SECOND)
+            took = time.perf_counter() - began
+            more = fleet.counts - counts
+            voters = sum(fleet.sent[v] - sent[v] for v in field.voters) / 3 / 120
+            heard = sum(fleet.got[v] - got[v] for v in field.voters) / 3 / 120
+            row = (
+                *(gateways, tasks, shards, f"{more['sent'] / 120 / gateways:.2f}"),
+                *(f"{more['bytes'] / 120 / gateways:.0f}", f"{voters:.1f}", f"{heard:.1f}"),
+                f"{took * 1e6 / max(1, more['sent']):.0f}",
+            )
+            table.add_row(*map(str, row))
+    Console(width=120).print(table)
+    return 0
+
+
+def main() -> int:
+    """The command line."""
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    what = parser.add_subparsers(dest="what", required=True)
+    one = what.add_parser("days")
+    one.add_argument("--count", type=int, default=1_000)
+    one.add_argument("--jobs", type=int, default=6)
+    one.add_argument("--first", type=int, default=0)
+    what.add_parser("takeover").add_argument("--count", type=int, default=200)
+    what.add_parser("traffic")
+    given = parser.parse_args()
+    if given.what == "days":
+        return days(given.count, given.jobs, given.first)
+    return takeover(given.count) if given.what == "takeover" else traffic()
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/saffrongw/admin/cli.py
+++ b/saffrongw/admin/cli.py
@@ -10,7 +10,7 @@
 
 import tomlform
 from saffrongw import __version__, operator
-from saffrongw.admin import unusable
+from saffrongw.admin import leases, unusable
 from saffrongw.certs.table import REASONS
 from saffrongw.gateway import process
 from saffrongw.gateway.config import parse
@@ -124,6 +124,7 @@
     commands.add_parser("version", help="print the version")
     _ledger_commands(commands)
     _certs_commands(commands)
+    leases.arguments(commands)
     given = parser.parse_args(argv)
     if given.command == "ledger":
         from . import ledger  # only here: other commands load nothing of it
@@ -133,6 +134,8 @@
         from . import certs
 
         return certs.run(given)
+    if given.command == "leases":
+        return leases.run(given)
     if given.command == "serve":
         return serve(given.config, given.operator)
     return check(given.file) if given.command == "check" else version()
--- a/saffrongw/certs/agent.py
+++ b/saffrongw/certs/agent.py
@@ -23,6 +23,8 @@
 from pathlib import Path
 from typing import Any
 
+from saffrongw.gateway.plug import SoleDuty
+
 from . import chain, flow, renewal
 from .documents import Account, CertNote, DocumentError
 from .flow import Flow, Keep, Publish, Request, Session, Wait, Withdraw
@@ -156,10 +158,11 @@
         clock: Clock | None = None,
         step: Callable[[str], None] | None = None,
         https: Callable[[str], Https] = Https,
+        duty: SoleDuty | None = None,
     ) -> None:
         self.table, self.me, self.clock, self.https = table, me, clock or Clock(), https
         terms = Terms(table.lease_seconds, table.clock_skew)
-        self.store = Store(table.state_dir, self.clock.now, terms, step)
+        self.store = Store(table.state_dir, self.clock.now, terms, step, duty)
         self.keeper = Keeper(self.store, manner, table.first)
         self.pool = ThreadPoolExecutor(1, "certs")
         self.random = random.Random()
--- a/saffrongw/certs/part.py
+++ b/saffrongw/certs/part.py
@@ -8,6 +8,7 @@
 
 from saffrongw.gateway.config import address
 from saffrongw.gateway.driver import Driver
+from saffrongw.gateway.plug import SoleDuty
 
 from .agent import Agent, Clock, Row
 from .front import Front, Manner, make_context
@@ -31,13 +32,15 @@
 class CertsPart:
     """Service, front, figures and rows in one."""
 
-    def __init__(self, table: CertsTable, seed: int, clock: Clock | None = None) -> None:
+    def __init__(
+        self, table: CertsTable, seed: int, clock: Clock | None = None, duty: SoleDuty | None = None
+    ) -> None:
         self.table = table
         manner = manner_of(table.tls)
         make_context(manner)  # a file of clients' authorities that can't be read ends the start
         # New with each start: a gateway that comes back is not the one that held the lease.
         me = f"{socket.gethostname()}-{os.getpid()}-{seed:x}"[:120]
-        self.agent = Agent(table, me, manner, clock)
+        self.agent = Agent(table, me, manner, clock, duty=duty)
         self.front = Front(address(table.listen), manner, bounds_of(table.tls), self.agent)
         self.responder = (
             Responder(address(table.http_listen), self.agent.key_authorisation) if table.http_listen else None
--- a/saffrongw/certs/store.py
+++ b/saffrongw/certs/store.py
@@ -27,6 +27,8 @@
 from dataclasses import asdict, dataclass, replace
 from pathlib import Path
 
+from saffrongw.gateway.plug import SoleDuty
+
 from . import chain, documents
 from .documents import Account, CertNote, DocumentError
 from .jose import AccountKey
@@ -37,6 +39,8 @@
 CHALLENGE_FOR = 2 * 3_600.0  # seconds after which one that nobody took down is gone
 VERSIONS_KEPT = 3  # of each certificate: the current one and those before it
 LOCK_WITHIN, LOCK_LOOK = 10.0, 0.02  # seconds to wait for the lock / between two tries
+BY_DUTY = "fleet:"  # before the holder's name in the file, where a lease of the whole fleet stands behind it
+DUTY_LOOK = 0.5  # seconds between two looks at whether that is ours
 FILE_MOST = 256 * 1024  # bytes of any file here
 _ID = re.compile(r"[a-z0-9*_][a-z0-9.\-*_]{0,120}")
 _TOKEN = re.compile(r"[A-Za-z0-9_\-]{8,256}")
@@ -88,6 +92,7 @@
 class Store:
     """One site's folder.
 
+    ``duty`` says who may order where a lease of the whole fleet does; else the file's own lease does.
     ``step`` is called with a name before and after each change that others see: tests stop there.
     """
 
@@ -97,8 +102,9 @@
         now: Callable[[], float] = time.time,
         terms: Terms | None = None,
         step: Callable[[str], None] | None = None,
+        duty: SoleDuty | None = None,
     ) -> None:
-        self.folder, self.now, self.terms = folder, now, terms or Terms()
+        self.folder, self.now, self.terms, self.duty = folder, now, terms or Terms(), duty
         self.step = step or (lambda name: None)
 
     # -- files ----------------------------------------------------------------------------------------------------
@@ -209,7 +215,13 @@
             return None
 
     def take_duty(self, me: str) -> tuple[int, float]:
-        """(term, look again at): the term under which we may order now, 0 where another does."""
+        """(term, look again at): the term under which we may order now, 0 where another does.
+
+        With a duty over the whole fleet its number is the term, and what was written before us stands in its way only
+        by a higher term. The file says so to gateways that go by it alone, until all of them have the duty.
+        """
+        if self.duty is not None:
+            return self._take_under_duty(me, self.duty)
         with self._locked():
             now, found = self.now(), self.lease()
             if found is not None and (cut := capped(now, found, self.terms)) != found:
@@ -224,19 +236,50 @@
             assert isinstance(what, Wait)
             return 0, what.until
 
+    def _take_under_duty(self, me: str, duty: SoleDuty) -> tuple[int, float]:
+        number, again_at = duty.number(), self.terms.span / 2
+        again = self.now() + DUTY_LOOK
+        if not number:
+            return 0, again
+        with self._locked():
+            now, found = self.now(), self.lease()
+            if found is not None and found.term > number:
+                duty.above(found.term)
+                return 0, again
+            if found is not None and not found.holder.startswith(BY_DUTY):
+                ends = capped(now, found, self.terms).until + self.terms.skew
+                if ends > now:
+                    return 0, min(again, ends)  # one that goes by the file alone has it yet
+            mine = Lease(BY_DUTY + me, number, now + self.terms.span)
+            if (
+                found is None
+                or (found.holder, found.term) != (mine.holder, number)
+                or found.until < now + again_at
+            ):
+                self._write(self.folder / "lease.json", json.dumps(asdict(mine)).encode())
+        return number, again
+
+    def _holds(self, duty: tuple[str, int]) -> bool:
+        """Whether a write under this term may be done right now; under the lock."""
+        found = self.lease()
+        if self.duty is None:
+            return held(self.now(), *duty, found, self.terms)
+        ours = found is not None and (found.holder, found.term) == (BY_DUTY + duty[0], duty[1])
+        return ours and self.duty.valid(duty[1])
+
     def drop_duty(self, me: str) -> None:
         """Another may take it at once."""
         with self._locked():
             found = self.lease()
-            if found and found.holder == me:
-                over = Lease(me, found.term, self.now() - self.terms.skew)
+            if found and found.holder in (me, BY_DUTY + me):
+                over = Lease(found.holder, found.term, self.now() - self.terms.skew)
                 self._write(self.folder / "lease.json", json.dumps(asdict(over)).encode())
 
     @contextlib.contextmanager
     def _under(self, duty: tuple[str, int] | None) -> Iterator[None]:
         """The lock, and the term checked under it. None: by an operator's hand."""
         with self._locked():
-            if duty is not None and not held(self.now(), *duty, self.lease(), self.terms):
+            if duty is not None and not self._holds(duty):
                 raise LostLease("another gateway orders by now")
             yield
 
--- a/saffrongw/gateway/clients.py
+++ b/saffrongw/gateway/clients.py
@@ -308,6 +308,7 @@
     def __init__(self, driver: Driver, config: Config, most: int) -> None:
         self.driver, self.config, self.most, self.loop = driver, config, most, driver.loop
         self.form, self.intake = Form(config), Intake(driver, driver.loop)
+        driver.pressed = lambda: bool(self.intake.pressed)
         self.open: set[Client] = set()
         # Since when, the longest first: without a whole command, without a request, and closing.
         self.waiting: dict[Client, float] = {}
--- a/saffrongw/gateway/driver.py
+++ b/saffrongw/gateway/driver.py
@@ -114,6 +114,8 @@
         self.last_number = 0
         self.pending: deque[api.Event] = deque()
         self.feeding = False
+        self.succeeds = False  # another process with our addresses still runs, and gives way
+        self.pressed: Callable[[], bool] = lambda: False  # whether requests wait for the core
 
     def start(self, known: HostList) -> None:
         """The first actions, and the list as it was last known, before any client is served."""
--- a/saffrongw/gateway/operations.py
+++ b/saffrongw/gateway/operations.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from orchidlane import handover
 from orchidlane import interface as api
@@ -11,7 +11,7 @@
 from .config import Config
 from .driver import Driver
 from .figures import text
-from .plug import Lines
+from .plug import Lines, OperatorCall
 
 SOURCE = "operator"
 EXCLUDED_MOST = 4_096  # hosts taken out at once: each is remembered, listed or not
@@ -24,6 +24,8 @@
         self.driver, self.clients, self.config = driver, clients, config
         self.serving = False
         self.more: tuple[Lines, ...] = ()  # figures of what is plugged in
+        self.calls: Mapping[bytes, OperatorCall] = {}  # and what else it can be asked
+        self.on_drain: tuple[Callable[[bool], None], ...] = ()
         self.tell: Callable[..., object] = lambda *message: None  # the other process of an upgrade
 
     def able(self) -> bool:
@@ -83,9 +85,16 @@
     def quiesce(self) -> None:
         """Take no more clients."""
         self.clients.quiesce()
+        self.drains(True)
         self.tell("quiesced", True)
 
     def resume(self) -> None:
         """Take clients again."""
         self.clients.resume()
+        self.drains(False)
         self.tell("quiesced", False)
+
+    def drains(self, on: bool) -> None:
+        """Tell what is plugged in."""
+        for tell in self.on_drain:
+            tell(on)
--- a/saffrongw/gateway/operators.py
+++ b/saffrongw/gateway/operators.py
@@ -10,6 +10,7 @@
 import logging
 import re
 import socket
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 import h11
@@ -22,13 +23,15 @@
 OPEN_MOST = 32  # callers' connections at once
 CALL_WITHIN = 2.0  # seconds for a whole call
 READ_WITHIN = 1.0  # seconds for its caller to read the answer
-HEAD_MOST, BODY_MOST = 4_096, 256  # bytes of a call
+HEAD_MOST, BODY_MOST = 4_096, 512  # bytes of a call
 _ID = re.compile(rb"[!-~]{1,128}")
 
 
 class Operated(Protocol):
     """What operators may ask of a gateway; ids are those of discovery."""
 
+    calls: Mapping[bytes, tuple[bytes, Callable[[bytes], tuple[int, bytes]]]]  # of what is plugged in
+
     def able(self) -> bool:
         """Whether this process can serve."""
 
@@ -173,18 +176,25 @@
     def outcome(self, method: bytes, target: bytes, body: bytes) -> tuple[int, bytes]:
         """Status and text for one call."""
         path = target.partition(b"?")[0]
-        wanted = {
-            b"/admin/health": b"GET",
-            b"/admin/stats": b"GET",
-            b"/admin/cordon": b"POST",
-            b"/admin/uncordon": b"POST",
-            b"/admin/quiesce": b"POST",
-            b"/admin/resume": b"POST",
-        }.get(path)
+        plugged = self.operated.calls.get(path)
+        wanted = (
+            plugged[0]
+            if plugged
+            else {
+                b"/admin/health": b"GET",
+                b"/admin/stats": b"GET",
+                b"/admin/cordon": b"POST",
+                b"/admin/uncordon": b"POST",
+                b"/admin/quiesce": b"POST",
+                b"/admin/resume": b"POST",
+            }.get(path)
+        )
         if wanted is None:
             return 404, b"no such call\n"
         if method != wanted and (wanted, method) != (b"GET", b"HEAD"):
             return 405, b"this call wants " + wanted + b"\n"
+        if plugged:
+            return plugged[1](body)
         if path == b"/admin/health":
             return (200, b"ok\n") if self.operated.able() else (503, b"it does not serve yet\n")
         if path == b"/admin/stats":
--- a/saffrongw/gateway/plug.py
+++ b/saffrongw/gateway/plug.py
@@ -41,6 +41,7 @@
 
 Verdict = Pass | Refuse | Fail
 Lines = Callable[[], list[tuple[str, int]]]  # names and values that operators fetch
+OperatorCall = tuple[bytes, Callable[[bytes], tuple[int, bytes]]]  # method; body to status and text
 
 
 class Ending(Enum):
@@ -114,6 +115,19 @@
         """End, within a second or two."""
 
 
+class SoleDuty(Protocol):
+    """What only one gateway of the fleet may do at a time; asked from any thread."""
+
+    def number(self) -> int:
+        """The fencing number under which it is ours now; 0: it is not."""
+
+    def valid(self, number: int) -> bool:
+        """Whether it still is, under this number: asked just before each effect."""
+
+    def above(self, number: int) -> None:
+        """A receiver has seen this number: ours has to be higher."""
+
+
 @dataclass(frozen=True, slots=True)
 class Plugs:
     """All that is plugged in; time_share is the part of a request's time that all stages together may take."""
@@ -125,6 +139,8 @@
     again: Callable[[], None] | None = None  # on SIGHUP: read the operator file anew; it raises nothing
     fronts: tuple[Front, ...] = ()
     figures: tuple[Lines, ...] = ()
+    calls: Mapping[bytes, OperatorCall] = field(default_factory=dict)  # by path, at the operators' address
+    on_drain: tuple[Callable[[bool], None], ...] = ()  # told when draining begins, and when it is taken back
 
     def __bool__(self) -> bool:
         return bool(self.stages or self.observers or self.services or self.fronts)
--- a/saffrongw/gateway/process.py
+++ b/saffrongw/gateway/process.py
@@ -108,6 +108,7 @@
     )
     hosts = driver.hosts
     inheritance = await Inheritance.of(loop, config.listen)
+    driver.succeeds = inheritance is not None
     driver.start((inheritance and inheritance.listed) or config.known)
     for service in plugs.services if plugs else ():
         await service.start(driver)
@@ -126,7 +127,8 @@
     loop.add_signal_handler(signal.SIGHUP, hang_up)
     clients = Clients(driver, config, client_sockets)
     operations = Operations(driver, clients, config)
-    operations.more = plugs.figures if plugs else ()
+    if plugs:
+        operations.more, operations.calls, operations.on_drain = plugs.figures, plugs.calls, plugs.on_drain
     calls = OperatorCalls(loop, operations)
     if config.admin:
         calls.listen(config.admin)
@@ -150,6 +152,7 @@
         gc.collect()
         gc.freeze()  # what is loaded by now stays: it need not be looked through again
         await stop.wait()
+        operations.drains(True)
         if estate.has_heir:
             await estate.hand_over()
         else:
--- a/saffrongw/operator/file.py
+++ b/saffrongw/operator/file.py
@@ -7,6 +7,8 @@
 
 import tomlform
 from saffrongw.certs.table import CertsTable
+from saffrongw.channel.table import ChannelTable
+from saffrongw.leases.table import LeasesTable
 from tomlform import ADDRESS, key
 
 MODES = ("open", "closed")
@@ -132,6 +134,12 @@
     authz_server: AuthzServerTable | None = key(None)
     ledger: LedgerTable | None = key(None)
     certs: CertsTable | None = key(None)
+    channel: ChannelTable | None = key(None)
+    leases: LeasesTable | None = key(None)
+
+    def __post_init__(self) -> None:
+        if self.leases and not self.channel:
+            raise ValueError("leases needs a [channel]")
 
 
 def load(path: Path | str) -> OperatorFile:
--- a/saffrongw/wiring.py
+++ b/saffrongw/wiring.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import hashlib
 import logging
+from collections.abc import Callable
 from dataclasses import replace
 
 from saffrongw.certs.table import CertsTable
+from saffrongw.channel.table import ChannelTable
 from saffrongw.gateway.clients import Front
 from saffrongw.gateway.config import Config
-from saffrongw.gateway.plug import Lines, Observer, Plugs, Service, Stage
+from saffrongw.gateway.plug import Lines, Observer, OperatorCall, Plugs, Service, SoleDuty, Stage
+from saffrongw.leases.table import LeasesTable
 from saffrongw.operator import OperatorFile, load
 from saffrongw.operator.file import AuthzServerTable, AuthzTable, LedgerTable, TlsTable
 from tomlform import FormError
@@ -35,60 +39,104 @@
         services.append(ledger)
     fronts: list[Front] = []
     figures: list[Lines] = []
-    certs = None
+    calls: dict[bytes, OperatorCall] = {}
+    drains: list[Callable[[bool], None]] = []
+    certs = leases = channel = None
+    if file.channel:
+        channel = _channel(file.channel)
+        services.append(channel)
+        figures.append(channel.figures)
+    if file.leases:
+        leases = _leases(file.leases, channel)
+        services.append(leases)
+        figures.append(leases.figures)
+        calls |= leases.calls()
+        drains.append(leases.drain)
     if file.certs:
-        certs = _certs(file.certs, config)
+        duty = leases.duty(_duty_of(file.certs)) if leases else None
+        certs = _certs(file.certs, config, duty)
         services.append(certs)
         fronts.append(certs.front)
         figures.append(certs.figures)
     if file.authz_server:
         services.append(_authz_server(file.authz_server, config))
-    again = Again(path, file, config, stage, certs) if path else None
+    again = (
+        Again(path, file, config, stage, {"certs": certs, "channel": channel, "leases": leases})
+        if path
+        else None
+    )
     parts = tuple(stages), tuple(observers), tuple(services)
-    return Plugs(*parts, file.stages.time_share, again, tuple(fronts), tuple(figures))
+    return Plugs(*parts, file.stages.time_share, again, tuple(fronts), tuple(figures), calls, tuple(drains))
 
 
 class Again:
     """SIGHUP: the operator file read anew. All of it is valid and takes effect, or none, and the old one stays."""
 
-    def __init__(self, path: str, file: OperatorFile, config: Config, stage, certs) -> None:
-        self.path, self.file, self.config, self.stage, self.certs = path, file, config, stage, certs
+    def __init__(self, path: str, file: OperatorFile, config: Config, stage, parts: dict) -> None:
+        self.path, self.file, self.config, self.stage = path, file, config, stage
+        self.parts = {name: part for name, part in parts.items() if part}  # they change by prepare and commit
 
     def __call__(self) -> None:
         try:
             new = load(self.path)
-            commit = self.certs.change(new.certs) if self.certs and new.certs else None
-            built = plugs_of(replace(new, certs=None), self.config)
+            tables = {name: table for name in self.parts if (table := getattr(new, name))}
+            commits = [self.parts[name].change(table) for name, table in tables.items()]
+            built = plugs_of(replace(new, certs=None, channel=None, leases=None), self.config)
             if self.stage and new.authz and new.authz != self.file.authz:
                 made = built.stages[0]
                 self.stage.change(made.figures, made.rules, made.make)
         except (FormError, OSError, ValueError) as wrong:
             log.warning("reload: the operator file that was read first stays: %s", wrong)
             return
-        if commit:
+        for commit in commits:
             commit()
         if _fixed(self.file) != _fixed(new):
             log.warning(
-                "reload: what is switched on or off, and all but [authz] and [certs], wait for the next start"
+                "reload: what is switched on or off, [authz_server], [ledger] and [stages] wait for the next start"
             )
         self.file = replace(
             self.file,
             authz=new.authz if self.stage and new.authz else self.file.authz,
-            certs=new.certs if commit else self.file.certs,
+            **tables,
         )
 
 
 def _fixed(file: OperatorFile) -> tuple:
     """What can't change in service."""
-    return file.stages, bool(file.authz), file.authz_server, file.ledger, bool(file.certs)
+    on = [bool(table) for table in (file.authz, file.certs, file.channel, file.leases)]
+    return file.stages, file.authz_server, file.ledger, on
+
+
+def _channel(table: ChannelTable):
+    try:
+        from saffrongw.channel.part import ChannelPart
+    except ImportError as missing:
+        raise FormError(f"channel needs the extra saffrongw[leases]: {missing}") from None
+    try:
+        return ChannelPart(table)
+    except ValueError as wrong:
+        raise FormError(str(wrong)) from None
+
+
+def _leases(table: LeasesTable, channel):
+    try:
+        from saffrongw.leases.part import LeasesPart
+    except ImportError as missing:
+        raise FormError(f"leases needs the extra saffrongw[leases]: {missing}") from None
+    return LeasesPart(table, channel)
+
+
+def _duty_of(table: CertsTable) -> str:
+    """The lease under which certificates of one folder are ordered: the same on all gateways that share it."""
+    return f"certs:{hashlib.blake2b(str(table.state_dir).encode(), digest_size=4).hexdigest()}"
 
 
-def _certs(table: CertsTable, config: Config):
+def _certs(table: CertsTable, config: Config, duty: SoleDuty | None = None):
     try:
         from saffrongw.certs.part import CertsPart
     except ImportError as missing:
         raise FormError(f"certs needs the extra saffrongw[certs]: {missing}") from None
-    return CertsPart(table, config.seed)
+    return CertsPart(table, config.seed, duty=duty)
 
 
 def _library(table: str) -> None:
