--- a/saffrongw/leases/asker.py
+++ b/saffrongw/leases/asker.py
@@ -83,6 +83,7 @@
     answered: set[str] = field(default_factory=set)
     against: set[str] = field(default_factory=set)
     n_seen: int = 0
+    outbid: bool = False  # a higher ballot is in the way of ours
     mark: int = 0
     known_from: int = 0
     notes: dict[bytes, Note] = field(default_factory=dict)
@@ -234,7 +235,7 @@
             if self.stopped:
                 claim.at = claim.held_until
                 return []
-            return self._propose(now, claim)
+            return self._prepare(now, claim) if claim.outbid else self._propose(now, claim)
         if now < claim.ends:
             claim.at = min(now + self.timing.again_after, claim.ends)
             unheard = [v for v in self.voters if v not in claim.answered and v not in claim.against]
@@ -257,6 +258,7 @@
         self.n = max(self.n, claim.n_seen) + 1
         claim.n_seen, claim.ballot = self.n, (self.n, self.name, self.life)
         claim.round = claim.mark = 0
+        claim.outbid = False
         if not claim.held_until:
             claim.notes, claim.known_from = {}, 0
         return self._begin(now, claim, Stage.PREPARING)
@@ -268,12 +270,10 @@
     def _again(self, now: int, claim: Claim) -> Out:
         """A round has come to nothing."""
         claim.tries += 1
-        if (
-            claim.held_until
-        ):  # there is time yet: the very next round, with a higher ballot where one is in the way
-            if claim.n_seen > claim.ballot[0] or claim.stage is Stage.PREPARING:
-                return self._prepare(now, claim)
-            return self._propose(now, claim)
+        if claim.held_until:  # there is time yet: the next round, not faster than answers can be expected
+            claim.outbid = claim.outbid or claim.stage is Stage.PREPARING
+            claim.stage, claim.at = Stage.RESTING, max(now, claim.began + self.timing.again_after // 2)
+            return [] if claim.at > now else self._next(now, claim)
         if claim.tries >= TRIES or self.stopped:
             self._drop(now, claim, "")
             return self._released(claim)
@@ -293,8 +293,8 @@
     def _drop(self, now: int, claim: Claim, why: str) -> None:
         self.claims.pop(claim.lease, None)
         if claim.held_until:
+            self.counts["lost" if claim.held_until <= now else "given back"] += 1
             claim.held_until = 0
-            self.counts["lost"] += 1
             self.events.append(Lost(claim.lease, claim.number, why))
 
     # -- messages --------------------------------------------------------------------------------------------------
@@ -365,6 +365,7 @@
         self.counts["refused"] += 1
         claim.against.add(voter)
         if told.why == Why.OLDER:
+            claim.outbid = True
             claim.n_seen = max(claim.n_seen, min(told.n, LARGEST // 2))
         if len(self.voters) - len(claim.against) >= self.majority:
             return []
--- a/saffrongw/leases/member.py
+++ b/saffrongw/leases/member.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from .asker import Asker, Event, Out, Token, Wanted
+from .asker import Asker, Claim, Event, Out, Stage, Token, Wanted
 from .holds import Holds
 from .messages import (
     LARGEST,
@@ -71,9 +71,9 @@
     """How we stand with one voter."""
 
     at: int  # when to tell it again
-    sent: int = 0  # when we told it last; 0: it has answered
     tries: int = 0
-    heard: int = 0
+    heard: int = 0  # by our clock
+    clock: int = 0  # its own, as it was heard then
 
 
 class Member:
@@ -174,7 +174,7 @@
         self.leaving = True
         out = [*self.asker.give_all_back(now, "we drain")]
         out = [
-            (v, self._stand(wall)) for v in self.own.voters
+            (v, self._stand(now, wall, 0)) for v in self.own.voters
         ] + out  # first that we are not offered them again
         return self._out(now, wall, out)
 
@@ -209,16 +209,16 @@
         out: Out = []
         for voter, stand in self.stands.items():
             if stand.at <= now:
-                out.append((voter, self._stand(wall)))
+                out.append((voter, self._stand(now, wall, stand.clock)))
                 wait = min(self.timing.stand_every, self.timing.again_after * 2 ** min(stand.tries, 12))
                 stand.at = now + int(wait * (1 + self.draw()))
-                stand.sent, stand.tries = now, stand.tries + 1
+                stand.tries += 1
         return out
 
-    def _stand(self, wall: int) -> Stand:
-        return Stand(
-            self.shards, self.named, self.pressed, self.leaving, self.holds.all(wall), self.asker.seen
-        )
+    def _stand(self, now: int, wall: int, heard: int) -> Stand:
+        holds, seen = self.holds.all(wall), self.asker.seen
+        pressed = self.pressed or bool(self.asker.stopped)
+        return Stand(self.shards, self.named, pressed, self.leaving, holds, seen, now, heard)
 
     def _tell_again(self, now: int, lease: str, telling: Telling) -> Out:
         if now >= telling.until:
@@ -272,18 +272,18 @@
         if stand is None:
             self.counts["strange"] += 1
             return []
-        stand.heard = now
+        stand.heard, stand.clock = now, clock or now
         match message:
             case Promise() | Accept() | Refuse():
                 claim = self.asker.claims.get(message.lease)
-                if claim and claim.ballot == message.ballot and claim.began:
+                if claim and self._answers(claim, message):
                     self._read_clock(now, sender, life, clock, claim.began)
                 return self.asker.handle(now, sender, message)
             case Free():
                 self._free(now, message)
             case Roster():
-                if stand.sent:
-                    self._read_clock(now, sender, life, clock, stand.sent)
+                if 0 < message.at <= now:
+                    self._read_clock(now, sender, life, clock, message.at)
                 self._roster(now, wall, sender, stand, message)
             case Told():
                 telling = self.tellings.get(message.lease)
@@ -293,6 +293,15 @@
                         self._told_all(now, message.lease, telling, True)
         return []
 
+    @staticmethod
+    def _answers(claim: Claim, message: Promise | Accept | Refuse) -> bool:
+        """Whether this is an answer to the question that is out: its clock was read after that left."""
+        if claim.ballot != message.ballot:
+            return False
+        if claim.stage is Stage.PREPARING:
+            return isinstance(message, Promise) or (isinstance(message, Refuse) and not message.round)
+        return claim.stage is Stage.PROPOSING and getattr(message, "round", 0) == claim.round
+
     def _read_clock(self, now: int, voter: str, life: int, clock: int, asked: int) -> None:
         """Learn of its clock's rate; where most differ from ours, ours is wrong and we hold nothing."""
         if not clock or voter == self.name:
@@ -318,7 +327,7 @@
         return lease in self.named or lease in self.shard_names
 
     def _roster(self, now: int, wall: int, voter: str, stand: Place, told: Roster) -> None:
-        stand.tries = stand.sent = 0
+        stand.tries = 0
         self.asker.saw(told.seen)
         if told.shards != self.shards:
             self.other_shards = told.shards
--- a/saffrongw/leases/messages.py
+++ b/saffrongw/leases/messages.py
@@ -96,7 +96,7 @@
 
 
 class Stand(msgspec.Struct, frozen=True, array_like=True, tag=5):
-    """This gateway is there to hold leases: the shards and those that are named."""
+    """This gateway is there to hold leases: the shards and those that are named; ``at`` by its clock is sent back."""
 
     shards: int
     named: tuple[str, ...]
@@ -104,6 +104,8 @@
     leaving: bool
     holds: tuple[Hold, ...]
     seen: int = 0
+    at: int = 0
+    heard: int = 0  # this voter's clock as it was last heard; 0: never
 
 
 class Promise(msgspec.Struct, frozen=True, array_like=True, tag=6):
@@ -162,6 +164,7 @@
     silent: int
     shards: int
     seen: int = 0
+    at: int = 0
 
 
 class Seal(msgspec.Struct, frozen=True, array_like=True, tag=12):
--- a/saffrongw/leases/part.py
+++ b/saffrongw/leases/part.py
@@ -475,6 +475,8 @@
             "standing": sorted(voter.standing.all) if voter else [],
             "clock": member.asker.stopped,
             "not_believed": sorted(member.rates.wrong),
+            "given_back": member.asker.counts["given back"],
+            "held": sorted(claim.lease for claim in member.asker.held(now)),
             "leases": [rows[lease] for lease in sorted(rows)],
             "tasks": tasks,
             "holds": [
--- a/saffrongw/leases/standing.py
+++ b/saffrongw/leases/standing.py
@@ -41,7 +41,7 @@
     until: int
     named: frozenset[str]
     pressed: bool = False
-    doubtful: bool = False  # a lease of it ran out
+    doubtful: bool = False  # a lease of it ran out, or it does not hear this voter
 
 
 class Standing:
@@ -55,14 +55,25 @@
         self.turned_away = 0
         self._named: frozenset[str] | None = None
 
-    def stand(self, now: int, name: str, life: int, named: Iterable[str], pressed: bool, until: int) -> bool:
-        """One tells that it stands; False where there is no room."""
+    def stand(
+        self,
+        now: int,
+        name: str,
+        life: int,
+        named: Iterable[str],
+        pressed: bool,
+        until: int,
+        hears: bool = True,
+    ) -> bool:
+        """One tells that it stands; False where there is no room. One that does not hear us would take nothing."""
         old = self.all.get(name)
         if old is None and len(self.all) >= STANDING_MOST:
             self.turned_away += 1
             return False
         same = old is not None and old.life == life
-        self.all[name] = Stander(life, old.since if same else now, until, frozenset(named), pressed)
+        self.all[name] = Stander(
+            life, old.since if same else now, until, frozenset(named), pressed, not hears
+        )
         self._named = None
         return True
 
--- a/saffrongw/leases/voter.py
+++ b/saffrongw/leases/voter.py
@@ -99,7 +99,7 @@
             self.known_from = wall
             self.floor = max(self.floor, self.seen, wall // MS)
             for entry in self.entries.values():
-                entry.offer_at = now
+                entry.offer_at = now + self.timing.push_every  # voters that started together end together
         return False
 
     def be_silent(self, now: int) -> None:
@@ -299,14 +299,15 @@
         left = 0 if self.known_from else max(0, self.silent_until - now)
         if told.shards != self.standing.shards:
             # Another number of shards means other leases for the same tasks: it gets none here.
-            return [(sender, Roster(self.timing.stand_every, (), (), left, self.standing.shards))]
+            return [(sender, Roster(self.timing.stand_every, (), (), left, self.standing.shards, 0, told.at))]
         self.holds.merge(told.holds, wall)
         if told.leaving:
             self.standing.leave(sender)
             return []
         again = max(self.timing.stand_every, len(self.standing.all) * 1_000_000 // STANDS_A_SECOND)
         before = self.standing.named
-        if not self.standing.stand(now, sender, life, told.named, told.pressed, now + int(3.5 * again)):
+        until, hears = now + int(3.5 * again), 0 < told.heard <= now < told.heard + 4 * again
+        if not self.standing.stand(now, sender, life, told.named, told.pressed, until, hears):
             self.counts["dropped"] += 1
             return []
         if not self.entries or self.standing.named != before:
@@ -315,12 +316,10 @@
         settled = self.timing.span
         move = () if silent else self.standing.moves(now, sender, held, settled)[:MOVED_AT_ONCE]
         barred = [lease for lease in held if self.holds.on(lease, wall)]
-        return [
-            (
-                sender,
-                Roster(again, (*barred, *move), self.holds.all(wall), left, self.standing.shards, self.seen),
-            )
-        ]
+        roster = Roster(
+            again, (*barred, *move), self.holds.all(wall), left, self.standing.shards, self.seen, told.at
+        )
+        return [(sender, roster)]
 
     # -- what operators see ----------------------------------------------------------------------------------------
 
--- /dev/null
+++ b/tests/faults/test_leases.py
@@ -0,0 +1,142 @@
+"""Leases over real processes, with faults between them: one holder at a time, judged from outside."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+import uvloop
+from variants import LEASES
+
+from standin.judge.holders import Calling, Seen, Stated, Still, judge
+from standin.model.lease_day import LeaseDay, LeaseFault, drawn
+from standin.play.lease_world import LeaseWorld, line_of, play
+
+CUT = LeaseFault("split", 3.0, 4.0)  # whoever holds it then
+ALONE = LeaseDay(11, 5, 3, faults=(CUT,), length_s=9.0, voters_stand=False)
+PLANTED = {
+    "believes-its-lease-for-ever": (ALONE, "one holder"),
+    "works-without-asking-its-token": (ALONE, "call outside"),
+    "counts-a-voter-twice": (
+        LeaseDay(
+            12,
+            *(6, 3),
+            faults=(LeaseFault("double", 1.0, 8.0, size=1.0), LeaseFault("split", 2.0, 6.0, (0, 3, 4))),
+            length_s=9.0,
+            voters_stand=False,
+        ),
+        "one holder",
+    ),
+    "forgets-to-be-silent": (
+        LeaseDay(
+            13,
+            *(8, 3),
+            span_s=3.0,
+            faults=(LeaseFault("split", 5.0, 5.0), LeaseFault("voters", 5.1, 0.05, (0, 1, 2))),
+            length_s=11.0,
+            voters_stand=False,
+        ),
+        "one holder",
+    ),
+}
+
+
+def played(day: LeaseDay, folder, lines=None, fences=True):
+    verdict, world = uvloop.run(play(day, folder, lines, fences))
+    assert not world.crashes()
+    return verdict, world
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_no_two_holders_on_days_of_mixed_faults(seed, tmp_path):
+    verdict, _ = played(drawn(seed), tmp_path)
+    assert verdict.findings == []
+    assert verdict.tenures >= 2 and verdict.calls > 20 and verdict.spans > 50
+
+
+@pytest.mark.parametrize("variant", PLANTED)
+def test_each_planted_fault_is_caught_and_named(variant, tmp_path):
+    day, rule = PLANTED[variant]
+    line = line_of("tests.faults.variants", variant)
+    verdict, _ = played(day, tmp_path, dict.fromkeys(range(day.gateways), line), fences=False)
+    assert rule in verdict.rules()
+    named = [one for one in verdict.findings if one.rule == rule]
+    assert all(one.what.count("n") >= 2 for one in named)
+    assert any("split" in one.during for one in named)
+
+
+@pytest.mark.parametrize("variant", PLANTED)
+def test_the_true_gateway_passes_the_same_days(variant, tmp_path):
+    verdict, _ = played(PLANTED[variant][0], tmp_path)
+    assert verdict.findings == []
+
+
+def test_every_variant_is_played():
+    assert set(LEASES) == set(PLANTED)
+
+
+def test_killed_at_every_step_of_a_grant_another_takes_over(tmp_path):
+    """Twelve gateways that each end at another step, and two that do not."""
+    steps = range(1, 13)
+    day = LeaseDay(14, 3 + len(steps) + 2, 3, length_s=14.0, span_s=0.6, voters_stand=False, tasks=2)
+    lines = {3 + n: line_of("tests.faults.variants", "killed-at", str(step)) for n, step in enumerate(steps)}
+
+    async def run():
+        world = LeaseWorld(day, tmp_path, lines)
+        try:
+            seen = await world.run()
+            ended = [g.number for g in world.gateways if g.process.returncode is not None]
+        finally:
+            await world.close()
+        return seen, ended
+
+    seen, ended = uvloop.run(run())
+    verdict = judge(seen)
+    assert verdict.findings == []
+    assert len(ended) >= 9 and set(ended) <= set(lines)
+
+
+# -- the judge itself ----------------------------------------------------------------------------------------------
+
+
+def told(gateway: str, at: int, *held: tuple[str, int, int], given: int = 0) -> Stated:
+    return Stated(at, at + 1_000, gateway, "1", held, given)
+
+
+S = 1_000_000
+HELD = [
+    told("n0", 10 * S, ("s0/1", 5, S)),
+    told("n0", 11 * S),
+    told("n1", 12 * S, ("s0/1", 6, S)),
+    told("n1", 13 * S, ("s0/1", 6, S)),
+]
+
+
+def test_the_judge_passes_what_follows_one_another():
+    assert judge(Seen(stated=HELD)).findings == []
+
+
+def test_the_judge_finds_a_span_that_goes_on_while_its_holder_stands_still():
+    late = [told("n0", 9 * S, ("s0/1", 5, 9 * S)), told("n0", 14 * S), *HELD[2:]]
+    found = judge(Seen(stated=late, faults=[(9 * S, 14 * S, "stop of n0")])).findings
+    assert [one.rule for one in found] == ["one holder"]
+    assert "n0" in found[0].what and "n1" in found[0].what and found[0].during == "stop of n0"
+    back = [late[0], dataclasses.replace(late[1], given=1), *late[2:]]
+    assert judge(Seen(stated=back)).findings == []
+
+
+def test_the_judge_finds_numbers_that_fall_and_calls_that_come_too_late():
+    fell = [*HELD[2:], told("n2", 15 * S, ("s0/1", 4, S))]
+    assert {one.rule for one in judge(Seen(stated=fell)).findings} == {"numbers"}
+    seen = Seen(stated=HELD, lease_of={"t": "s0/1"})
+    seen.calls = [Calling(13 * S, "t", 2, 6, "n1/1", True), Calling(13 * S + 1, "t", 2, 5, "n0/1", True)]
+    assert {one.rule for one in judge(seen).findings} == {"older number", "call outside"}
+    seen.still = [Still("n0", 11 * S, 13 * S)]
+    seen.calls[1] = dataclasses.replace(seen.calls[1], accepted=False)
+    verdict = judge(seen)
+    assert verdict.findings == [] and verdict.older_arrived == 1
+
+
+def test_the_judge_finds_a_lease_that_nobody_holds_at_the_end():
+    seen = Seen(stated=HELD, lease_of={"t": "s0/1"}, finished=20 * S)
+    assert [one.rule for one in judge(seen).findings] == ["service"]
--- a/tests/faults/variants.py
+++ b/tests/faults/variants.py
@@ -290,7 +290,127 @@
     hosting.pack_request = pack
 
 
+# -- leases: each breaks what ``standin.judge.holders`` judges ---------------------------------------------
+
+LEASES: dict[str, Callable[[], None]] = {}
+
+
+def lease_variant(plant: Callable[[], None]) -> Callable[[], None]:
+    """Keep one under its name, with dashes."""
+    LEASES[plant.__name__.replace("_", "-")] = plant
+    return plant
+
+
+@lease_variant
+def believes_its_lease_for_ever() -> None:
+    from saffrongw.leases.asker import Asker
+
+    plain = Asker._accepted
+
+    def accepted(self, now, voter, claim):
+        out = plain(self, now, voter, claim)
+        if claim.held_until:
+            claim.held_until = now + 3_600_000_000
+        return out
+
+    Asker._accepted = accepted
+
+
+@lease_variant
+def works_without_asking_its_token() -> None:
+    """Goes on with its tasks, whatever became of the lease."""
+    from saffrongw.leases.asker import Token
+    from saffrongw.leases.part import LeasesPart
+    from saffrongw.leases.turns import Turns
+
+    plain = LeasesPart.token
+    known = {}
+
+    def token(self, lease):
+        found = plain(self, lease)
+        if found:
+            known[lease] = found
+        return known.get(lease)
+
+    Token.left = lambda self: 3_600_000_000
+    LeasesPart.token = token
+    LeasesPart._left = lambda self, lease: 3_600_000_000
+    Turns.lost = lambda self, lease: []
+
+
+@lease_variant
+def counts_a_voter_twice() -> None:
+    """Takes an answer as often as it comes."""
+    from benchmarks.fleet.lease_case import Answers
+    from saffrongw.channel.envelope import Window
+    from saffrongw.leases.asker import Asker
+
+    plain = Asker._begin
+
+    def begin(self, now, claim, stage):
+        out = plain(self, now, claim, stage)
+        claim.answered = Answers()
+        return out
+
+    Asker._begin = begin
+    Window.take = lambda self, number: True
+
+
+@lease_variant
+def forgets_to_be_silent() -> None:
+    from saffrongw.leases.voter import Voter
+
+    plain = Voter.__init__
+
+    def init(self, name, timing, standing, holds, now, *more) -> None:
+        plain(self, name, timing, standing, holds, now, *more)
+        self.silent_until = now
+
+    Voter.__init__ = init
+
+
+def killed_at(step: str) -> None:
+    """Ends without a word at so many steps of a grant: what it sends or is told of leases, 3 s after its start."""
+    import signal
+    import time
+
+    from saffrongw.leases.messages import Accept, Prepare, Promise, Propose, Tell, Told
+    from saffrongw.leases.part import LeasesPart
+
+    left, armed = int(step), time.monotonic() + 3
+
+    def count(packet) -> None:
+        nonlocal left
+        for message in packet.messages:
+            kinds = Prepare | Promise | Propose | Accept | Tell | Told
+            if isinstance(message, kinds) and time.monotonic() > armed:
+                left -= 1
+                if left == 0:
+                    os.kill(os.getpid(), signal.SIGKILL)
+
+    after = LeasesPart._after
+
+    def send(self, packets):
+        for _, packet in packets:
+            count(packet)
+        return after(self, packets)
+
+    import saffrongw.leases.part as part
+
+    plain = part._decode
+
+    def decode(payload):
+        packet = plain(payload)
+        count(packet)
+        return packet
+
+    LeasesPart._after, part._decode = send, decode
+
+
 if __name__ == "__main__":
     assert driving
-    VARIANTS[sys.argv[1]]()
+    if sys.argv[1] == "killed-at":
+        killed_at(sys.argv[2])
+    else:
+        {**VARIANTS, **LEASES}[sys.argv[1]]()
     sys.exit(main())
