--- a/standin/__main__.py
+++ b/standin/__main__.py
@@ -126,8 +126,22 @@
     judge = commands.add_parser("judge", help="judge kept evidence again")
     judge.add_argument("name", metavar="SCENARIO")
     judge.add_argument("evidence", type=Path)
+    leases = commands.add_parser(
+        "leases", help="drawn days of leases over real gateways, judged from outside"
+    )
+    leases.add_argument("--seeds", type=int, nargs=2, default=(0, 7), metavar=("FIRST", "LAST"))
+    leases.add_argument("--jobs", type=int, default=3)
+    leases.add_argument("--folder", type=Path, default=FOLDER / "leases")
+    leases.add_argument("--run", default=None, metavar="LINE", help="start gateways by this line")
     given = parser.parse_args(argv)
     try:
+        if given.command == "leases":
+            from .play.lease_runs import many
+
+            seeds = range(given.seeds[0], given.seeds[1] + 1)
+            return many(
+                seeds, given.jobs, given.folder.resolve(), given.run, lambda line: print(line, flush=True)
+            )
         if given.command == "list":
             return _list()
         if given.command == "check":
