Stand-ins: deploys, deaths and restarts that overlap are played, not ended by KeyError

Seen: two deploy faults at once ended a run with KeyError in standin/model/registry.py (health, a host deleted twice); the test of it fails without the change. Cause: world.py, _deploy and _host_dies turned hosts that another fault had already taken off the list. Now each looks first, a deploy leaves out what drains already, and faults that end and start one gateway follow one another by a lock. With those the checker blamed a kill that came after the end by SIGTERM; it now counts only a SIGTERM that has not been followed by an end.

--- a/standin/judge/checker.py
+++ b/standin/judge/checker.py
@@ -621,14 +621,16 @@
             )
 
     def _running(self) -> None:
+        told_to_end: set[int] = set()  # SIGTERM was sent, and it has not ended yet
         for r in self.log.of(GatewayEvent):
             if r.what == "exit" and r.detail.startswith("crashed"):
                 self._find("running", r.at, "a gateway ended by itself", gateway=r.gateway, evidence=r.detail)
-            elif r.what == "kill" and any(
-                e.what == "term" and e.gateway == r.gateway and r.at - 6 * SECOND < e.at < r.at
-                for e in self.log.of(GatewayEvent)
-            ):
+            elif r.what == "kill" and r.gateway in told_to_end:
                 self._find("running", r.at, "a gateway did not end on SIGTERM", gateway=r.gateway)
+            if r.what == "term":
+                told_to_end.add(r.gateway)
+            elif r.what in ("exit", "start"):
+                told_to_end.discard(r.gateway)
         for r in self.log.of(HostEvent):
             if r.what == "syntax":
                 self._find(
--- a/standin/play/world.py
+++ b/standin/play/world.py
@@ -50,6 +50,7 @@
         self.held: list[list[Change]] = []  # news that wait for the end of a silence, by gateway
         self.last_push: list[float] = []
         self.gateways: list[GatewayProcess] = []
+        self.locks: list[asyncio.Lock] = []  # one for each gateway: faults that end and start it follow one another
         self.udp: UdpRelay | None = None
         self.clients: ClientSide | None = None
         self.first: list[StandinHost] = []
@@ -82,6 +83,7 @@
             await server.listen()
             self.servers.append(server)
             self.gateways.append(GatewayProcess(number, self.folder, self.clock, self.log, self.run_line))
+            self.locks.append(asyncio.Lock())
         if s.authoriser.count:
             await self._open_authorisers()
         if self.operator:
@@ -228,6 +230,11 @@
             self.last_push[number] = at + 1e-6
             self.loop.call_at(at, self._push, number, change)
 
+    def _turn(self, host: StandinHost, health: str, delay: float = 0.0) -> None:
+        """A host drains or is gone; one that another fault has taken off the list already is not on it."""
+        if host.name in self.registry.lines:
+            self.publish(self.registry.health(host.name, health), delay)
+
     def _push(self, number: int, change: Change) -> None:
         if self.servers[number].silent:
             self.held[number].append(change)
@@ -277,24 +284,27 @@
 
     async def _kill(self, number: int, fault: Fault) -> None:
         async def one(gateway: GatewayProcess) -> None:
-            await gateway.kill()
-            notice = self.loop.create_task(
-                self._front_notices(gateway, self.random.uniform(*self.scenario.clients.notice_s))
-            )
-            self.tasks.append(notice)
-            await asyncio.sleep(fault.for_s)
-            known = self.first_known[gateway.number] if fault.stale else None
-            await self._start_gateway(gateway, known)
+            async with self.locks[gateway.number]:
+                await gateway.kill()
+                notice = self.loop.create_task(
+                    self._front_notices(gateway, self.random.uniform(*self.scenario.clients.notice_s))
+                )
+                self.tasks.append(notice)
+                await asyncio.sleep(fault.for_s)
+                known = self.first_known[gateway.number] if fault.stale else None
+                await self._start_gateway(gateway, known)
 
         await asyncio.gather(*(one(gateway) for gateway in self._gateways(number, fault)))
 
     async def _restart(self, number: int, fault: Fault) -> None:
         for gateway in self._gateways(number, fault):
-            self.loop.call_later(TERM_NOTICE, self.clients.down.add, gateway.number)
-            await gateway.terminate()
-            self.clients.down.add(gateway.number)
-            await asyncio.sleep(fault.for_s)
-            await self._start_gateway(gateway)
+            async with self.locks[gateway.number]:
+                notice = self.loop.call_later(TERM_NOTICE, self.clients.down.add, gateway.number)
+                await gateway.terminate()
+                self.clients.down.add(gateway.number)
+                notice.cancel()
+                await asyncio.sleep(fault.for_s)
+                await self._start_gateway(gateway)
             await asyncio.sleep(fault.gap_s)
 
     async def _stop(self, number: int, fault: Fault) -> None:
@@ -363,7 +373,7 @@
         hosts = self._hosts(number, fault)
         for host in hosts:
             host.stop()
-            self.publish(self.registry.health(host.name, "DELETED"), NOTICED_DEAD)
+            self._turn(host, "DELETED", NOTICED_DEAD)
         if fault.for_s:
             await asyncio.sleep(fault.for_s)
             for host in hosts:
@@ -437,7 +447,8 @@
             await asyncio.sleep(fault.gap_s)
 
     async def _deploy(self, number: int, fault: Fault) -> None:
-        hosts = [self.fleet.hosts[name] for name in list(self.registry.lines) if self.fleet.hosts[name].up]
+        standing = [self.fleet.hosts[name] for name in self.registry.lines]
+        hosts = [host for host in standing if host.up and not host.draining]  # not those of another deploy
         hosts = hosts[: max(1, round((fault.share or 1.0) * len(hosts)))]
         size = max(1, round(fault.batch * len(hosts)))
         batches = [hosts[i : i + size] for i in range(0, len(hosts), size)]
@@ -445,10 +456,10 @@
 
         async def replace_one(host: StandinHost) -> None:
             host.draining = True
-            self.publish(self.registry.health(host.name, "DRAINING"))
+            self._turn(host, "DRAINING")
             await asyncio.sleep(fault.drain_s)
             host.stop()
-            self.publish(self.registry.health(host.name, "DELETED"))
+            self._turn(host, "DELETED")
             new = await self.fleet.add(host.rack_number, cold=True)
             self.publish(self.registry.put(self._line(new)))
 
--- a/tests/faults/test_scenarios.py
+++ b/tests/faults/test_scenarios.py
@@ -82,3 +82,22 @@
     scenario = tomlform.loads(Scenario, 'name = "short"\nlength_s = 1\n')
     with pytest.raises(RuntimeError, match=r"gateway n. ended with 7: no such thing"):
         runs.run(scenario, tmp_path, "echo no such thing; exit 7")
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        # Two deploys at once, and a host that dies in the middle of one.
+        '[[fault]]\nat = 0.5\nkind = "deploy"\nfor_s = 2\ndrain_s = 1\n'
+        '[[fault]]\nat = 1\nkind = "deploy"\nfor_s = 2\ndrain_s = 1\n'
+        '[[fault]]\nat = 1.2\nkind = "host_dies"\nshare = 0.5\nfor_s = 1\n',
+        # A gateway that is killed while it restarts.
+        '[[fault]]\nat = 0.5\nkind = "kill"\ngateways = [0]\nfor_s = 1\n'
+        '[[fault]]\nat = 0.7\nkind = "restart"\ngateways = [0, 1]\nfor_s = 0.3\n'
+        '[[fault]]\nat = 0.9\nkind = "kill"\ngateways = [0, 1]\nfor_s = 0.3\n',
+    ],
+)
+def test_faults_that_overlap_are_played(faults, tmp_path):
+    done = runs.run(tomlform.loads(Scenario, 'name = "overlap"\nlength_s = 6\n' + faults), tmp_path)
+    assert [f for f in done.verdict.findings if f.certain] == []
+    assert done.verdict.totals["served"] > 0
