Leases in service: operators, keys that turn, other voters, certificates under a lease

Need: what operators do to leases has to be shown over real processes. tests/leases/test_service.py holds, releases, turns keys in three SIGHUPs without a forged datagram, changes voters n0-n2 to n2-n4 in service; 10,000 strangers' datagrams at a voter change no state. tests/leases/test_duty.py: the certificates' folder refuses the older number of a holder that was stopped, and one order is made over three real gateways; beside a gateway that goes by the file alone one orders.

--- a/standin/play/world.py
+++ b/standin/play/world.py
@@ -50,7 +50,9 @@
         self.held: list[list[Change]] = []  # news that wait for the end of a silence, by gateway
         self.last_push: list[float] = []
         self.gateways: list[GatewayProcess] = []
-        self.locks: list[asyncio.Lock] = []  # one for each gateway: faults that end and start it follow one another
+        self.locks: list[
+            asyncio.Lock
+        ] = []  # one for each gateway: faults that end and start it follow one another
         self.udp: UdpRelay | None = None
         self.clients: ClientSide | None = None
         self.first: list[StandinHost] = []
--- /dev/null
+++ b/tests/leases/test_duty.py
@@ -0,0 +1,148 @@
+"""Certificates ordered under a lease of the whole fleet: the folder is the receiver that refuses older numbers."""
+
+from __future__ import annotations
+
+import pytest
+from conftest import asyncio_test
+
+from saffrongw.certs.documents import CertNote
+from saffrongw.certs.lease import Terms
+from saffrongw.certs.store import LostLease, Store
+from standin.authority.server import AuthorityServer
+from standin.model.lease_day import LeaseDay
+from standin.play.lease_world import LeaseWorld
+from standin.play.processes import free_port
+
+NAME = "gw.example"
+
+
+class Duty:
+    """A lease that the test gives and takes."""
+
+    def __init__(self) -> None:
+        self.now, self.asked_above = 0, 0
+
+    def number(self) -> int:
+        return self.now
+
+    def valid(self, number: int) -> bool:
+        return number > 0 and number == self.now
+
+    def above(self, number: int) -> None:
+        self.asked_above = number
+
+
+class Folder:
+    """Two gateways under leases, one by the folder's own lease."""
+
+    def __init__(self, tmp_path) -> None:
+        self.now = 1_700_000_000.0
+        self.duties = {"a": Duty(), "b": Duty()}
+        terms, clock = Terms(30.0, 2.0), lambda: self.now
+        self.stores = {
+            name: Store(tmp_path / "s", clock, terms, None, duty) for name, duty in self.duties.items()
+        }
+        self.plain = Store(tmp_path / "s", clock, terms)
+        self.plain.open()
+
+    def hold(self, name: str, number: int) -> int:
+        for duty in self.duties.values():
+            duty.now = 0
+        self.duties[name].now = number
+        return self.stores[name].take_duty(name)[0]
+
+    def write(self, name: str, number: int) -> None:
+        self.stores[name].amend(NAME, lambda note: note, (name, number))
+
+
+@pytest.fixture
+def folder(tmp_path) -> Folder:
+    return Folder(tmp_path)
+
+
+def test_the_holder_of_the_lease_orders_and_nobody_else(folder):
+    assert folder.hold("a", 700) == 700
+    assert folder.stores["b"].take_duty("b")[0] == 0
+    folder.write("a", 700)
+    with pytest.raises(LostLease):
+        folder.write("b", 700)
+
+
+def test_one_that_was_stopped_writes_nothing_once_its_lease_or_its_number_is_over(folder):
+    folder.hold("a", 700)
+    folder.duties["a"].now = 0
+    with pytest.raises(LostLease):
+        folder.write("a", 700)
+    # It still believes in its lease, as after a stop between its look and the write: the folder has seen a newer one.
+    folder.hold("b", 701)
+    folder.duties["a"].now = 700
+    with pytest.raises(LostLease):
+        folder.write("a", 700)
+    folder.write("b", 701)
+
+
+def test_an_older_number_asks_for_a_higher_one(folder):
+    folder.hold("a", 700)
+    assert folder.hold("b", 650) == 0
+    assert folder.duties["b"].asked_above == 700
+    assert folder.hold("b", 701) == 701
+
+
+def test_beside_gateways_that_go_by_the_file_alone_one_orders(folder):
+    assert folder.plain.take_duty("p") == (1, folder.now + 15)
+    assert folder.hold("a", 700) == 0  # it waits for the file's own lease to end
+    folder.now += 32.5
+    assert folder.hold("a", 700) == 700
+    assert folder.plain.take_duty("p")[0] == 0
+    with pytest.raises(LostLease):
+        folder.plain.amend(NAME, lambda note: CertNote(), ("p", 1))
+    folder.now += 10
+    folder.stores["a"].drop_duty("a")
+    assert folder.plain.take_duty("p")[0] == 701  # and the next one under a lease has to be above it
+    folder.now += 40
+    assert folder.hold("b", 700) == 0 and folder.duties["b"].asked_above == 701
+
+
+class CertWorld(LeaseWorld):
+    """Gateways with [leases] and [certs] that share a folder."""
+
+    def __init__(self, *given) -> None:
+        super().__init__(*given)
+        self.tls = [free_port() for _ in self.gateways]
+        self.authority = AuthorityServer()
+
+    async def open(self) -> None:
+        await self.authority.listen()
+        self.authority.tls = [("127.0.0.1", port) for port in self.tls]
+        self.folder.mkdir(exist_ok=True)
+        self.ca = self.authority.write_ca(self.folder)
+        await super().open()
+
+    def operator_text(self, number: int) -> str:
+        return super().operator_text(number) + (
+            f'[certs]\nlisten = "127.0.0.1:{self.tls[number]}"\nstate_dir = "{self.folder / "state"}"\n'
+            f'[[certs.certificate]]\nnames = ["{NAME}"]\n'
+            f'[[certs.authority]]\ndirectory = "{self.authority.directory}"\nca = "{self.ca}"\n'
+        )
+
+
+def test_real_gateways_order_one_certificate_under_their_lease(tmp_path):
+    @asyncio_test
+    async def run():
+        world = CertWorld(LeaseDay(21, 3, 3, tasks=1, length_s=9.0), tmp_path)
+        try:
+            seen = await world.run()
+            stats = [await world.call(n, "GET", "/admin/stats") for n in range(3)]
+            state = await world.state(0)
+        finally:
+            await world.close()
+            await world.authority.close()
+        assert world.authority.authority.counts["orders"] == 1
+        assert sum(b"svc.certs.holds_duty=1" in text for text in stats) == 1
+        named = [row for row in state["leases"] if row["lease"].startswith("certs:")]
+        assert len(named) == 1 and named[0]["holder"]
+        lease = Store(tmp_path / "state").lease()
+        assert lease.term == named[0]["number"] and lease.holder.startswith("fleet:")
+        assert not world.crashes() and seen.stated
+
+    run()
--- /dev/null
+++ b/tests/leases/test_service.py
@@ -0,0 +1,265 @@
+"""Leases in service: what operators ask and change over real gateways, strangers on the channel, what is loaded."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from conftest import asyncio_test
+
+from saffrongw.admin import cli
+from saffrongw.leases.store import LeaseStore
+from standin.model.lease_day import LeaseDay
+from standin.net.relay import text_of
+from standin.play.lease_world import LeaseWorld
+
+ROOT = Path(__file__).parent.parent.parent
+
+
+def command(world: LeaseWorld, number: int, *words: str) -> tuple[int, str]:
+    """The command line against a gateway."""
+    where = ["-m", "saffrongw.admin.cli", "leases", "--admin", text_of(world.admins[number])]
+    done = subprocess.run(
+        [sys.executable, *where, *words], cwd=ROOT, capture_output=True, text=True, timeout=30
+    )
+    assert "Traceback" not in done.stderr
+    return done.returncode, done.stdout + done.stderr
+
+
+async def figure(world: LeaseWorld, number: int, name: str) -> int:
+    text = (await world.call(number, "GET", "/admin/stats")).decode()
+    return next(int(line.partition("=")[2]) for line in text.splitlines() if line.startswith(f"svc.{name}="))
+
+
+async def when(condition, within: float = 20.0) -> None:
+    async with asyncio.timeout(within):
+        while not await condition():
+            await asyncio.sleep(0.05)
+
+
+async def holder_of(world: LeaseWorld, task: str, among=range(9)) -> int | None:
+    """By each gateway's own word right now."""
+    for number in among:
+        if number < world.day.gateways:
+            state = await world.state(number)
+            lease = next(t["lease"] for t in state["tasks"] if t["task"] == task)
+            if lease in state["held"]:
+                return number
+    return None
+
+
+def rewrite(world: LeaseWorld, change) -> None:
+    """Another operator file for every gateway, and SIGHUP."""
+    for gateway in world.gateways:
+        path = world.folder / f"n{gateway.number}.toml"
+        path.write_text(change(gateway.number, path.read_text()))
+        gateway.signal(signal.SIGHUP, "hup")
+
+
+def test_operators_hold_release_turn_keys_and_change_voters_in_service(tmp_path):
+    @asyncio_test
+    async def run():
+        world = LeaseWorld(LeaseDay(31, 5, 3, tasks=2), tmp_path)
+        try:
+            await world.open()
+            await when(lambda: _held(world))
+            await operate(world)
+            await turn_keys(world)
+            await change_voters(world)
+        finally:
+            await world.close()
+        assert not world.crashes()
+
+    async def _held(world) -> bool:
+        return await holder_of(world, "task0") is not None
+
+    async def operate(world) -> None:
+        status, text = await asyncio.to_thread(command, world, 0, "list")
+        assert status == 0 and "task0" in text and "a majority was heard" in text
+        status, text = 2, ""
+        while status:  # in the first seconds leases still move to where they belong
+            assert not text or "not by this gateway" in text
+            first = await holder_of(world, "task0")
+            status, text = await asyncio.to_thread(command, world, first or 0, "release", "task0")
+        assert "given back" in text
+        status, text = await asyncio.to_thread(command, world, first, "show", "task0")
+        assert status == 0 and "it is turn" in text
+
+        async def moved() -> bool:
+            return await holder_of(world, "task0") not in (None, first)
+
+        await when(moved)
+        assert (await asyncio.to_thread(command, world, first, "release", "task0"))[0] == 2
+        holds = ("hold", "task0", "--for", "1h", "--who", "night shift", "--why", "wrong table")
+        assert (await asyncio.to_thread(command, world, 4, *holds))[0] == 0
+
+        async def nobody() -> bool:
+            return await holder_of(world, "task0") is None
+
+        await when(nobody)
+        status, text = await asyncio.to_thread(command, world, 1, "list")
+        assert "night shift" in text and "wrong table" in text
+        # A voter that starts anew hears of it again.
+        await world.gateways[1].kill()
+        await world.gateways[1].start(lambda: None)
+
+        async def told() -> bool:
+            return bool((await world.state(1))["holds"])
+
+        await when(told)
+        calls = len(world.receiver.calls)
+        assert (await asyncio.to_thread(command, world, 3, "hold", "task0", "--for", "0"))[0] == 0
+
+        async def again() -> bool:
+            return await _held(world) and len(world.receiver.calls) > calls
+
+        await when(again)
+        for words in (("show", "none"), ("hold", "none", "--for", "1m"), ("hold", "task0", "--for", "900d")):
+            assert (await asyncio.to_thread(command, world, 0, *words))[0] == 2
+
+    async def turn_keys(world) -> None:
+        new = world.folder / "new"
+        new.write_text(secrets.token_hex(32))
+        new.chmod(0o600)
+        old = f'keys = ["{world.folder / "key"}"]'
+        both, turned, only = (
+            f"keys = [{', '.join(f'{str(p)!r}' for p in some)}]"
+            for some in ((world.folder / "key", new), (new, world.folder / "key"), (new,))
+        )
+        for before, after in ((old, both), (both, turned), (turned, only)):
+            rewrite(world, lambda _, text, before=before, after=after: text.replace(before, after))
+            await asyncio.sleep(0.5)
+            await when(lambda: _held(world))
+        world.keys = only
+        assert [await figure(world, n, "channel.forged") for n in range(5)] == [0] * 5
+
+    async def change_voters(world) -> None:
+        # A file that can't be is told, and the old one stays.
+        rewrite(world, lambda _, text: text.replace('name = "n2"\naddress', 'name = "n3"\naddress'))
+        await asyncio.sleep(0.3)
+        assert (await world.state(0))["voters"] == ["n0", "n1", "n2"]
+        assert "give the new ones a higher leases.set" in (tmp_path / "n0.log").read_text()
+
+        def second(number: int, text: str) -> str:
+            at = {v: text_of(world.relay.address(number, v)) for v in range(5)}
+            head = world.operator_text(number).partition("[[leases.voter]]")[0]
+            tasks = "[[leases.task]]" + text.partition("[[leases.task]]")[2]
+            former = ", ".join(f'"n{v}={at[v]}"' for v in (0, 1, 2))
+            voters = "".join(f'[[leases.voter]]\nname = "n{v}"\naddress = "{at[v]}"\n' for v in (2, 3, 4))
+            old = f'keys = ["{world.folder / "key"}"]'
+            return (
+                head.replace(old, world.keys).replace("[leases]\n", "[leases]\nset = 2\n")
+                + f"[[leases.former]]\nset = 1\nvoters = [{former}]\n{voters}{tasks}"
+            )
+
+        rewrite(world, second)
+
+        async def sealed() -> bool:
+            states = [await world.state(n) for n in range(5)]
+            return all(s["set"] == 2 and s["voters"] == ["n2", "n3", "n4"] for s in states) and all(
+                s["sealed"] for s in states[2:]
+            )
+
+        await when(sealed)
+        await when(lambda: _held(world))
+
+    run()
+
+
+def test_strangers_on_the_channel_change_nothing(tmp_path):
+    @asyncio_test
+    async def run():
+        world = LeaseWorld(LeaseDay(32, 3, 3, tasks=1), tmp_path)
+        try:
+            await world.open()
+            await asyncio.sleep(2.5)
+            before = [await figure(world, 0, name) for name in ("channel.known", "voter.standing")]
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+                for n in range(10_000):
+                    sock.sendto(b"sg\x01" + os.urandom(4 + n % 1_000), world.channels[0])
+                    if n % 100 == 0:
+                        await asyncio.sleep(0.001)
+
+            async def noticed() -> bool:
+                return await figure(world, 0, "channel.forged") > 1_000
+
+            await when(noticed)
+            assert [await figure(world, 0, name) for name in ("channel.known", "voter.standing")] == before
+            assert await holder_of(world, "task0") is not None
+        finally:
+            await world.close()
+        assert not world.crashes()
+
+    run()
+
+
+def test_numbers_survive_on_a_disk_and_a_spoilt_one_is_told(tmp_path):
+    store = LeaseStore(tmp_path / "n0")
+    assert store.open() == 0
+    assert store.reserve(5_000) == 5_000
+    assert store.reserve(4_000) == 4_000
+    store.close()
+    again = LeaseStore(tmp_path / "n0")
+    assert again.open() == 5_000
+    again.db.execute("PRAGMA user_version=9")
+    again.close()
+    with pytest.raises(OSError, match="schema 9"):
+        LeaseStore(tmp_path / "n0").open()
+    (tmp_path / "bad").mkdir()
+    (tmp_path / "bad" / "leases.sqlite").write_bytes(b"no database" * 500)
+    with pytest.raises(OSError, match="not a database"):
+        LeaseStore(tmp_path / "bad").open()
+
+
+HEAD = '[channel]\nname = "a"\nlisten = "127.0.0.1:1"\nkeys = ["k"]\n'
+VOTER = '[[leases.voter]]\nname = "a"\naddress = "127.0.0.1:1"\n'
+TASK = '[[leases.task]]\nname = "t"\nevery_s = 5\ncall = "http://127.0.0.1:9/x"\n'
+MANY = "".join(TASK.replace('"t"', f'"t{n}"') for n in range(70))
+
+
+@pytest.mark.parametrize(
+    ("text", "why"),
+    [
+        ("[leases]\n" + VOTER, "leases needs a [channel]"),
+        (HEAD + "[leases]\n" + VOTER + VOTER.replace('"a"', '"b"'), "1, 3, 5 or 7 voters"),
+        (HEAD + "[leases]\nset = 2\n" + VOTER, "name the sets before"),
+        (HEAD + "[leases]\nspan_s = 2\n" + VOTER + TASK, "needs_s"),
+        (HEAD + "[leases]\n" + VOTER + TASK + TASK, "a task stands twice"),
+        (HEAD + "[leases]\ndrift = 0.9\n" + VOTER, "drift"),
+        (HEAD + "[leases]\n" + VOTER + TASK.replace("http://", "https://"), "call"),
+        (
+            HEAD
+            + "[leases]\nshards = 1\n"
+            + VOTER
+            + "".join(TASK.replace('"t"', f'"t{n}"') for n in range(70)),
+            "shards",
+        ),
+        (HEAD.replace('"a"', '"a b"'), "name"),
+    ],
+)
+def test_a_file_that_can_not_be_is_told_with_its_cause(text, why, tmp_path, capsys):
+    path = tmp_path / "o.toml"
+    path.write_text(text)
+    assert cli.main(["check", str(path)]) == 2
+    said = capsys.readouterr().err
+    assert why in said and "Traceback" not in said
+
+
+def test_without_its_tables_nothing_of_it_is_loaded(tmp_path):
+    path = tmp_path / "o.toml"
+    path.write_text("[stages]\ntime_share = 0.3\n")
+    code = (
+        "import sys, saffrongw.wiring, saffrongw.operator as o; from saffrongw.wiring import plugs_of\n"
+        f"o.load({str(path)!r})\n"
+        "parts = ('saffrongw.leases.member', 'saffrongw.channel.socket', 'msgspec', 'sqlite3')\n"
+        "print([m for m in sys.modules if m in parts])"
+    )
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=60)
+    assert done.stdout.strip() == "[]", done.stdout + done.stderr
