Leases: pressed gateways are asked by the event, not by a timer

Need: the layout wants no polling by timers. part.py looked five times a second at whether requests wait; now it looks when an offer or a time-out comes, which is when it matters. A test has all but one gateway pressed: that one takes over.

--- a/saffrongw/leases/part.py
+++ b/saffrongw/leases/part.py
@@ -32,7 +32,6 @@
 log = logging.getLogger(__name__)
 
 KIND = 1  # on the channel
-LOOK = 0.2  # seconds between two looks at whether this gateway is pressed
 QUEUE_MOST = 4_096  # calls that wait for one of ``in_flight`` to end
 SAY_EVERY = 60 * SECOND  # between two lines in the log about one thing
 
@@ -79,7 +78,6 @@
         self.tasks: dict[str, TaskTable] = {one.name: one for one in table.task}
         self.named: list[str] = []
         self.timer: asyncio.TimerHandle | None = None
-        self.looker: asyncio.TimerHandle | None = None
         self.running: dict[str, asyncio.Task] = {}
         self.queue: deque[Call] = deque()
         self.wanted: set[str] = set()
@@ -126,8 +124,6 @@
         )
         self._place(table)
         channel.channel.handlers[KIND] = self._heard
-        self._reserve()
-        self._look()
         self._turn()
 
     def _place(self, table: LeasesTable) -> None:
@@ -137,9 +133,8 @@
         """Give back what is left, end calls."""
         self.drain(True)
         self.closing = True
-        for handle in (self.timer, self.looker):
-            if handle:
-                handle.cancel()
+        if self.timer:
+            self.timer.cancel()
         for task in self.running.values():
             task.cancel()
         await asyncio.gather(*self.running.values(), return_exceptions=True)
@@ -203,11 +198,13 @@
             self.counts["malformed"] += 1
             return
         now = self.clock()
+        self.member.pressed = self.driver.pressed()  # then it takes nothing that it is offered, and says so
         self._after(self.member.receive(now, self.wall(now), sender, life, packet))
 
     def _turn(self) -> None:
         """All whose time has come, and when to look next."""
         now = self.clock()
+        self.member.pressed = self.driver.pressed()
         self._after(self.member.due(now, self.wall(now)))
 
     def _after(self, packets: Packets) -> None:
@@ -256,15 +253,6 @@
         else:
             self.wanted.add(event.lease)
 
-    def _look(self) -> None:
-        """Tell the voters when this gateway becomes pressed: it is offered nothing more then."""
-        pressed = self.driver.pressed()
-        if pressed != self.member.pressed:
-            self.member.pressed = pressed
-            self.member.stand_now(self.clock())
-            self._turn()
-        self.looker = self.loop.call_later(LOOK, self._look)
-
     def _complain(self, now: int) -> None:
         """Lines for what an operator has to mend."""
         member = self.member
--- a/tests/leases/test_field.py
+++ b/tests/leases/test_field.py
@@ -327,3 +327,14 @@
     assert fleet.nodes["slow"].machine.got == 20
     fleet.go_on("slow")
     assert fleet.nodes["slow"].machine.got >= 39
+
+
+def test_one_that_is_pressed_takes_nothing_that_it_is_offered():
+    field = rested(Field("pressed", 3, 5, timing=Timing(5 * SECOND)))
+    first = field.holder(LEASE)
+    spared = next(name for name in field.names if name != first)
+    for name in field.names:
+        field.fleet.nodes[name].machine.member.pressed = name not in (first, spared)
+    field.fleet.kill(first)
+    field.fleet.run(90 * SECOND)
+    assert field.holder(LEASE) == spared and field.breaches == []
