--- a/saffrongw/admin/certs.py
+++ b/saffrongw/admin/certs.py
@@ -14,7 +14,7 @@
 from datetime import UTC, datetime
 
 from saffrongw import operator
-from saffrongw.admin import unusable
+from saffrongw.admin import columns, unusable
 from saffrongw.certs import chain, renewal
 from saffrongw.certs.agent import Agent, Row
 from saffrongw.certs.documents import CertNote, DocumentError
@@ -80,10 +80,7 @@
         alarm = row.alarm.name.lower()
         counted = str(row.failures.count or "-")
         lines.append((row.id, names + more, left, row.issuer or "-", alarm, when(row.next_at), counted, why))
-    widths = [max(len(line[at]) for line in lines) for at in range(len(lines[0]))]
-    return "\n".join(
-        "  ".join(c.ljust(w) for c, w in zip(line, widths, strict=True)).rstrip() for line in lines
-    )
+    return columns(lines)
 
 
 def _list(site: Site, given: argparse.Namespace) -> int:
--- a/saffrongw/admin/leases.py
+++ b/saffrongw/admin/leases.py
@@ -9,7 +9,7 @@
 import re
 from datetime import UTC, datetime
 
-from saffrongw.admin import unusable
+from saffrongw.admin import columns, unusable
 from saffrongw.gateway.config import address
 
 WITHIN = 5.0  # seconds for an answer
@@ -53,14 +53,6 @@
     return datetime.fromtimestamp(at, UTC).strftime("%Y-%m-%d %H:%M:%S UTC")
 
 
-def table(lines: list[tuple[str, ...]]) -> str:
-    """Columns in line."""
-    widths = [max(len(line[at]) for line in lines) for at in range(len(lines[0]))]
-    return "\n".join(
-        "  ".join(c.ljust(w) for c, w in zip(line, widths, strict=True)).rstrip() for line in lines
-    )
-
-
 def head(state: dict) -> list[str]:
     """Of the gateway itself, with what is wrong."""
     since = state["since_majority_ms"]
@@ -96,7 +88,7 @@
         tasks = ", ".join(row["tasks"][:3]) + (f" +{len(row['tasks']) - 3}" if len(row["tasks"]) > 3 else "")
         hold = f"by {row['hold']['who']}" if row["hold"] else "-"
         rows.append((row["lease"], row["holder"] or "nobody", str(row["number"]), left, tasks or "-", hold))
-    return "\n".join([*head(state), "", table(rows) if len(rows) > 1 else "no leases are known here"])
+    return "\n".join([*head(state), "", columns(rows) if len(rows) > 1 else "no leases are known here"])
 
 
 def show_text(state: dict, name: str) -> str | None:
--- a/saffrongw/admin/ledger.py
+++ b/saffrongw/admin/ledger.py
@@ -9,7 +9,7 @@
 from datetime import UTC, datetime
 from pathlib import Path
 
-from saffrongw.admin import unusable
+from saffrongw.admin import columns, unusable
 from saffrongw.ledger.entries import Entry, Meaning, explain
 from saffrongw.ledger.reconcile import ListError, parse, reconcile
 from saffrongw.ledger.store import Reader, Store, StoreError, now_us
@@ -74,8 +74,7 @@
             str(len(e.tries)),
         )
         rows.append((*row, e.answer or "-", e.meaning.value + ("" if e.settled else " (open)")))
-    widths = [max(len(row[i]) for row in rows) for i in range(len(rows[0]))]
-    return "\n".join("  ".join(c.ljust(w) for c, w in zip(row, widths, strict=True)).rstrip() for row in rows)
+    return columns(rows)
 
 
 def run(given: argparse.Namespace) -> int:
