Leases: a receiver that refuses every number is not called in a loop

Read: part.py, outrun gave a lease back and got it at once, one number higher; where a receiver tells no number, or one beyond all, that went round at the speed of the network. Now the second time within two spans the lease is left for a span. A test with a receiver ahead by far (one call more and it goes on) and beyond all numbers (fewer than 30 calls in 3 s). The spread of tasks over shards is worked out once for each table.

--- a/saffrongw/leases/asker.py
+++ b/saffrongw/leases/asker.py
@@ -170,6 +170,7 @@
 
     def above(self, lease: str, number: int) -> None:
         """A receiver has seen this number already: the next one that we get is higher."""
+        self.saw(number)
         if number < LARGEST // 2:
             self.floors[lease] = max(self.floors.get(lease, 0), number)
             while len(self.floors) > CLAIMS_MOST:
--- a/saffrongw/leases/part.py
+++ b/saffrongw/leases/part.py
@@ -81,6 +81,7 @@
         self.running: dict[str, asyncio.Task] = {}
         self.queue: deque[Call] = deque()
         self.wanted: set[str] = set()
+        self.outran: dict[str, int] = {}  # by lease: when a receiver last had a higher number
         self.ended: dict[str, tuple[int, Ended]] = {}  # by task: turn, and how our last call of it went
         self.said: dict[str, int] = {}
         self.store = LeaseStore(Path(table.state_dir)) if table.state_dir else None
@@ -316,10 +317,15 @@
         return token.left() if token else 0
 
     def outrun(self, lease: str, number: int) -> None:
-        """A receiver has seen a higher number than ours: get the lease anew, above it."""
+        """A receiver has seen a higher number than ours: get the lease anew, above it. Again so soon, and the receiver
+        does not tell its number or refuses everything: leave it to others for a span."""
         self.member.asker.above(lease, number)
-        now = self.clock()
-        self._after(self.member.give_back(now, self.wall(now), lease, "a receiver has seen a higher number"))
+        now, span = self.clock(), self.member.timing.span
+        shun = span if now - self.outran.get(lease, -2 * span) < 2 * span else 0
+        if len(self.outran) < 1_024 or lease in self.outran:
+            self.outran[lease] = now
+        why = "a receiver has seen a higher number"
+        self._after(self.member.give_back(now, self.wall(now), lease, why, shun))
 
     def _do(self, todo: list[Do]) -> None:
         for one in todo:
--- a/saffrongw/leases/table.py
+++ b/saffrongw/leases/table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from functools import lru_cache
 
 from saffrongw.channel.table import GATEWAY
 from tomlform import ADDRESS, key
@@ -131,7 +132,13 @@
 
     def by_lease(self) -> dict[str, list[Spec]]:
         """Tasks by the lease under which they are done."""
-        found: dict[str, list[Spec]] = {}
-        for one in self.task:
-            found.setdefault(shard_of(one.name, self.shards), []).append(one.spec)
-        return found
+        return _spread(self.task, self.shards)
+
+
+@lru_cache(maxsize=4)
+def _spread(tasks: tuple[TaskTable, ...], shards: int) -> dict[str, list[Spec]]:
+    """Worked out once for each table: thousands of tasks over hundreds of shards take a while."""
+    found: dict[str, list[Spec]] = {}
+    for one in tasks:
+        found.setdefault(shard_of(one.name, shards), []).append(one.spec)
+    return found
--- a/tests/leases/test_service.py
+++ b/tests/leases/test_service.py
@@ -173,6 +173,30 @@
     run()
 
 
+def test_a_receiver_that_refuses_every_number_is_not_called_in_a_loop(tmp_path):
+    @asyncio_test
+    async def run():
+        world = LeaseWorld(LeaseDay(33, 3, 3, tasks=1), tmp_path)
+        try:
+            await world.open()
+            world.receiver.highest["task0"] = 1 << 50  # as if another fleet had called it
+            await when(lambda: _accepted(world))
+            first = next(call for call in world.receiver.calls if call.accepted)
+            assert first.number > 1 << 50
+            world.receiver.highest["task0"] = 1 << 61  # beyond what numbers go to
+            before = len(world.receiver.calls)
+            await asyncio.sleep(3)
+            assert len(world.receiver.calls) - before < 30
+        finally:
+            await world.close()
+        assert not world.crashes()
+
+    async def _accepted(world) -> bool:
+        return any(call.accepted for call in world.receiver.calls)
+
+    run()
+
+
 def test_strangers_on_the_channel_change_nothing(tmp_path):
     @asyncio_test
     async def run():
