A voter grants to one holder at a time: a promise forgotten by a restart let two hold

To blame: voter.py, _propose, which let a higher ballot lie on top of a running grant, as the published algorithm does.

Change: a voter refuses a proposal while another's grant runs, so two majorities can't both be had, whatever was promised; promises only order those who ask. A fresh proposal's number has to be above those seen at the voter; a holder's renewal is taken where nobody else has a grant. An asker drops a round that is over before it counts a promise. A release bars only its own ballots: one that had asked in vain had outbid the holder (a renewal test showed it). The body limit of operators' calls is back to 256 bytes but for plugged-in ones.

--- a/benchmarks/fleet/lease_case.py
+++ b/benchmarks/fleet/lease_case.py
@@ -405,7 +405,7 @@
     @staticmethod
     def _asked(message: Message, rank: dict[int, int]) -> tuple:
         if isinstance(message, Propose):
-            return (2, message.ballot, message.round, rank[message.number])
+            return (2, message.ballot, message.round, rank[message.number], message.fresh)
         if isinstance(message, Prepare):
             return (1, message.ballot, 0, rank[message.seen])
         return (3, message.ballot, 0, 0)
@@ -479,6 +479,17 @@
         return len(self.voters) // 2
 
 
+class Careless(Voter):
+    """Looks at no numbers."""
+
+    def _propose(self, now, wall, sender, life, asked):
+        entry, floor = self._entry(now, asked.lease), self.floor
+        mark, entry.mark, self.floor = entry.mark, 0, 0
+        answer = super()._propose(now, wall, sender, life, asked)
+        entry.mark, self.floor = max(mark, entry.mark), floor
+        return answer
+
+
 class SameNumber(Asker):
     """Takes the number that it was told instead of the next one."""
 
@@ -492,7 +503,7 @@
 
 def replace_number(message: Propose, number: int) -> Propose:
     """The same proposal under another number."""
-    return Propose(message.lease, message.ballot, message.round, message.span, number)
+    return Propose(message.lease, message.ballot, message.round, message.span, number, message.fresh)
 
 
 class Answers(set):
--- a/saffrongw/gateway/operators.py
+++ b/saffrongw/gateway/operators.py
@@ -23,7 +23,8 @@
 OPEN_MOST = 32  # callers' connections at once
 CALL_WITHIN = 2.0  # seconds for a whole call
 READ_WITHIN = 1.0  # seconds for its caller to read the answer
-HEAD_MOST, BODY_MOST = 4_096, 512  # bytes of a call
+HEAD_MOST, BODY_MOST = 4_096, 256  # bytes of a call
+MORE_MOST = 1_024  # bytes of one to what is plugged in
 _ID = re.compile(rb"[!-~]{1,128}")
 
 
@@ -85,7 +86,8 @@
                     self.request = event
                 elif isinstance(event, h11.Data):
                     self.body += event.data
-                    if len(self.body) > BODY_MOST:
+                    plugged = self.request.target in self.calls.operated.calls
+                    if len(self.body) > (MORE_MOST if plugged else BODY_MOST):
                         return self._answer(413, b"the body is too long\n")
                 elif isinstance(event, h11.EndOfMessage):
                     return self._answer(*self._outcome())
--- a/saffrongw/leases/asker.py
+++ b/saffrongw/leases/asker.py
@@ -246,7 +246,9 @@
     def _question(self, claim: Claim) -> Prepare | Propose:
         if claim.stage is Stage.PREPARING:
             return Prepare(claim.lease, claim.ballot, not claim.held_until, self.seen)
-        return Propose(claim.lease, claim.ballot, claim.round, self.timing.span, claim.number)
+        return Propose(
+            claim.lease, claim.ballot, claim.round, self.timing.span, claim.number, not claim.held_until
+        )
 
     def _begin(self, now: int, claim: Claim, stage: Stage) -> Out:
         claim.stage, claim.began, claim.ends = stage, now, now + self.timing.round_most
@@ -286,8 +288,8 @@
         return self._released(claim)
 
     def _released(self, claim: Claim) -> Out:
-        """What a few voters may have granted of a round that failed is of use to nobody."""
-        if not claim.ballot[0]:
+        """What a few voters may have granted of a round that failed is of use to nobody. Promises bind nothing."""
+        if not claim.round:
             return []
         return [(voter, Release(claim.lease, claim.ballot)) for voter in self.voters]
 
@@ -320,6 +322,8 @@
         return []
 
     def _promised(self, now: int, voter: str, claim: Claim, told: Promise) -> Out:
+        if now >= claim.ends:  # a process that stood still: what was promised then may be forgotten by now
+            return self._again(now, claim)
         claim.answered.add(voter)
         claim.mark = max(claim.mark, min(told.mark, LARGEST // 2))
         self.saw(told.mark)
@@ -329,14 +333,9 @@
                 claim.notes[note.task] = note
         if len(claim.answered) < self.majority:
             return []
-        if not claim.held_until:
+        if not claim.held_until:  # one that is held keeps its number: nobody else can have held a higher one
             claim.number = max(claim.mark, self.seen, self.floors.get(claim.lease, 0)) + 1
             self.saw(claim.number)
-        elif claim.number < max(claim.mark, self.floors.get(claim.lease, 0)):
-            # Somebody else's number went by, and ours no longer is the highest: this is another tenure.
-            self._drop(now, claim, "a higher number was seen")
-            self.claims[claim.lease] = claim
-            return self._prepare(now, claim)
         return self._propose(now, claim)
 
     def _accepted(self, now: int, voter: str, claim: Claim) -> Out:
@@ -349,7 +348,9 @@
             return self._again(now, claim)
         self.heard_majority = now
         claim.tries = 0
-        claim.stage, claim.at = Stage.RESTING, claim.began + self.timing.renew_after
+        # A voter that refused the first time is won soon: until then it offers the lease to others.
+        soon = self.timing.again_after if claim.against and not claim.held_until else self.timing.renew_after
+        claim.stage, claim.at = Stage.RESTING, claim.began + soon
         if claim.held_until:
             self.counts["renewed"] += 1
         else:
--- a/saffrongw/leases/messages.py
+++ b/saffrongw/leases/messages.py
@@ -26,7 +26,7 @@
     HOLD = 3  # operators let nobody have it
     UNKNOWN = 4  # no lease of this name
     SPAN = 5  # it was asked for longer than this voter grants
-    NUMBERS = 6  # the disk has not confirmed yet that numbers go on
+    NUMBERS = 6  # its number is not above those seen here, or beyond what the disk vouches for
 
 
 class State(IntEnum):
@@ -71,13 +71,15 @@
 
 
 class Propose(msgspec.Struct, frozen=True, array_like=True, tag=2):
-    """It takes the lease, or takes it again in another ``round``, under this fencing number."""
+    """It takes the lease, or takes it again in another ``round``, under this fencing number; ``fresh``: it does not
+    hold it yet."""
 
     lease: str
     ballot: Ballot
     round: int
     span: int
     number: int
+    fresh: bool = True
 
 
 class Release(msgspec.Struct, frozen=True, array_like=True, tag=3):
--- a/saffrongw/leases/voter.py
+++ b/saffrongw/leases/voter.py
@@ -3,6 +3,9 @@
 It keeps nothing on a disk. What makes that safe is time alone: a grant runs out by the voter's own clock, and a voter
 that starts, and so may have forgotten grants, says nothing until all of them have run out (``timing.py``).
 
+A voter grants a lease to one holder at a time and to nobody else before that grant has run out or was given back. Any
+two majorities share a voter: that alone is why no two hold it. Promises keep those who ask from halving the votes.
+
 Times ``now`` are us of this voter's monotonic clock, ``wall`` is Unix us and is used for two things only: where
 fencing numbers begin after a loss of memory, and since when this memory is whole. Neither is needed for one holder at
 a time.
@@ -51,6 +54,7 @@
 
     promised: Ballot = NO_BALLOT
     ballot: Ballot = NO_BALLOT  # of the grant
+    gone: Ballot = NO_BALLOT  # the last one that was given back
     round: int = 0
     number: int = 0
     until: int = 0  # 0: no grant
@@ -254,12 +258,23 @@
         if not 0 < asked.number <= self.reserved:
             return self._refuse(asked, Why.NUMBERS)
         entry = self._entry(now, asked.lease)
-        if asked.ballot < entry.promised:
+        if entry.until and entry.until <= now:
+            self._lapse(now, entry)
+        if entry.holder not in (None, (sender, life)):
+            # Each voter has one holder at a time, whatever it promised: two majorities share a voter, so there are
+            # no two holders even where a voter has forgotten a promise.
+            return self._refuse(asked, Why.HELD, left=entry.until - now, holder=entry.ballot[1])
+        if asked.ballot[1:] == entry.gone[1:] and asked.ballot <= entry.gone:
+            return self._refuse(asked, Why.OLDER, n=entry.gone[0])  # a late copy of what was given back
+        if asked.fresh and asked.ballot < entry.promised:
             return self._refuse(asked, Why.OLDER, n=entry.promised[0])
+        new = asked.fresh and entry.ballot[1:] != (sender, life)
+        if new and asked.number <= max(entry.mark, self.floor):
+            return self._refuse(asked, Why.NUMBERS)  # they only grow, for the same reason
         entry.touched = now
         if entry.until > now and entry.ballot == asked.ballot and asked.round < entry.round:
             return Accept(asked.lease, asked.ballot, asked.round)  # a late copy: it lengthens nothing
-        entry.promised = entry.ballot = asked.ballot
+        entry.promised, entry.ballot = max(entry.promised, asked.ballot), asked.ballot
         entry.round, entry.number, entry.until = asked.round, asked.number, now + self.timing.span
         entry.mark = max(entry.mark, asked.number)
         entry.offer_at = 0
@@ -270,11 +285,7 @@
         entry = self.entries.get(told.lease)
         if entry is None or told.ballot[1:] != (sender, life):
             return []
-        if entry.promised <= told.ballot:
-            entry.promised = (
-                *told.ballot[:2],
-                told.ballot[2] + 1,
-            )  # a late copy of the proposal finds it closed
+        entry.gone = told.ballot
         if entry.until and entry.holder == (sender, life) and entry.ballot <= told.ballot:
             self.counts["released"] += 1
             self._free(now, entry)
--- a/standin/model/lease_day.py
+++ b/standin/model/lease_day.py
@@ -41,6 +41,7 @@
     length_s: float = 12.0
     drift: float = 0.01
     voters_stand: bool = True  # voters do tasks as well
+    settles: bool = True  # it ends quiet for so long that every lease has to be held again
     faults: tuple[LeaseFault, ...] = ()
 
     @property
