--- a/benchmarks/fleet/lease_case.py
+++ b/benchmarks/fleet/lease_case.py
@@ -427,6 +427,7 @@
         return (
             silent,
             entry.promised,
+            entry.gone,
             granted,
             left,
             rank.get(entry.mark, 0),
