A voter knows its leases from its start, and hears all that stand in its silence

Now it knows them from its start, and gateways tell that they stand every 0.9 spans instead of 2, so a voter hears all of them in its silence.

--- a/saffrongw/leases/timing.py
+++ b/saffrongw/leases/timing.py
@@ -76,8 +76,8 @@
 
     @property
     def stand_every(self) -> int:
-        """How often a gateway tells the voters that it stands, at the least."""
-        return min(30 * SECOND, 2 * self.span)
+        """How often a gateway tells the voters that it stands: a voter that has started hears all in its silence."""
+        return min(30 * SECOND, int(0.9 * self.span))
 
     @property
     def stand_for(self) -> int:
--- a/saffrongw/leases/voter.py
+++ b/saffrongw/leases/voter.py
@@ -92,6 +92,7 @@
         self.entries: dict[str, Entry] = {}
         self.swept = now
         self.counts = {"granted": 0, "refused": 0, "expired": 0, "released": 0, "offered": 0, "dropped": 0}
+        self._sweep(now)
 
     # -- time ------------------------------------------------------------------------------------------------------
 
@@ -111,6 +112,7 @@
         self.floor = max([self.floor, *(entry.mark for entry in self.entries.values())])
         self.entries.clear()
         self.silent_until, self.known_from = now + self.timing.silence, 0
+        self._sweep(now)
 
     def next_at(self) -> int:
         """When ``due`` has something to do, at the latest."""
