Voters offer a free lease as soon as somebody stands

Seen: after a restart of all voters one lease was offered to nobody for a span, as the first look found nobody standing (voter.py, _offer put the next one off by a span).

--- a/saffrongw/leases/voter.py
+++ b/saffrongw/leases/voter.py
@@ -156,7 +156,6 @@
             return []
         order = self.standing.order(lease)
         if not order:
-            entry.offer_at = now + self.timing.span
             return []
         begin = entry.offers * OFFERED_AT_ONCE % len(order)
         entry.offers += 1
