Leases: two pieces that nothing used are gone

Read again: Asker.heard_majority doubled Member.since_majority, and Timing.stand_for was never asked, as a voter counts from the interval that it has told (voter.py, _stand). No change of what is done; 89 tests of leases pass.

--- a/saffrongw/leases/asker.py
+++ b/saffrongw/leases/asker.py
@@ -128,7 +128,6 @@
         self.floors: dict[str, int] = {}  # numbers that receivers have seen already
         self.distrusted: frozenset[str] = frozenset()  # voters whose clocks are not to be believed
         self.stopped = ""  # why nothing is asked for
-        self.heard_majority = 0
         self.counts = {
             "asked": 0,
             "gained": 0,
@@ -346,7 +345,6 @@
         if until <= now:
             self.counts["late"] += 1
             return self._again(now, claim)
-        self.heard_majority = now
         claim.tries = 0
         # A voter that refused the first time is won soon: until then it offers the lease to others.
         soon = self.timing.again_after if claim.against and not claim.held_until else self.timing.renew_after
--- a/saffrongw/leases/timing.py
+++ b/saffrongw/leases/timing.py
@@ -78,8 +78,3 @@
     def stand_every(self) -> int:
         """How often a gateway tells the voters that it stands: a voter that has started hears all in its silence."""
         return min(30 * SECOND, int(0.9 * self.span))
-
-    @property
-    def stand_for(self) -> int:
-        """After this, unheard, it stands no more: two tellings may be lost."""
-        return int(3.5 * self.stand_every)
