A request waits one message's time for rights of its ceiling

A part of one in 46 of a store of 47 units holds one request at most and takes 2.4 s to fill, so nearly every first meeting of a customer and a gateway was a refusal, while the keeper, a message away, held enough.

Looked at and excluded: sets too large for a part to hold a request at all (47/46 units: none were), quotas (`fresh` and `quota`: under 1%), patience and hosts (under 1% then). 143 of 323 waited in vain at first because a keeper gave fractions to all who asked, a third of the rest because questions waited for the allowance of messages, a third because one lost datagram was taken for a dead keeper.

Change: `_waits` (rules.py) holds such a request for its keeper's answer, 200 ms at most and only once; `_give` and `_pay_owed` (counts.py) serve those that wait before topping anybody up, whole and in their order, also from what refills within 150 ms; a question that a request waits for may use messages that are kept for answers; two silences make a keeper mute. Parts fill from when the process began to load (birth.py), not from when it was ready: 0.5 s. Rights later than 200 ms or told twice are void: a doubled answer could lift a ceiling before (a test shows it).

--- a/orchidlane/counts.py
+++ b/orchidlane/counts.py
@@ -14,10 +14,8 @@
 
 MS, SECOND = 1_000, 1_000_000  # microseconds
 
-INTAKE_SHARE, RESERVE = (
-    0.8,
-    4,
-)  # of the intake that every gateway may send: the rest is for jitter / messages kept for answers
+INTAKE_SHARE = 0.8  # of the intake that every gateway may send: the rest is for jitter
+RESERVE, URGENT = 4, 1  # messages kept for answers / those of them that even urgent questions leave
 INTERVAL = 300 * MS  # between two gossip turns: what is pressing does not wait for them
 FAN = 12  # gateways told at once: the rest of a larger set is told by them, each has a part of it
 NEWS_MOST = 3  # counts in a row; older ones are within its total
@@ -25,13 +23,17 @@
 LATE_MOST = 5 * SECOND  # a message that took longer, or comes from so far ahead, is not believed
 CLOSE, REOPEN = 0.25, 0.6  # of the burst: with less room a customer is refused, until so much is back
 ANSWER_WITHIN = 200 * MS  # a keeper not heard for so long is asked to answer as soon; else the next is told
+# Rights of a ceiling: a request waits so long for them / a keeper owes them so long / later, they are void
+RIGHTS_WITHIN, RIGHTS_OWED, RIGHTS_LATE = 200 * MS, 150 * MS, 200 * MS
+RIGHTS_SPARE = 0.5  # of a keeper's part that is left for those with requests that wait
 KEEPER_STRIDE = 2_654_435_761  # spreads customers over the gateways of their sets
 SPREAD_ABOVE = 0.5  # of the messages of a second that stay for approvals and answers
 KEEPERS = 3  # gateways of a set that are tried
 HEAR = 0.1  # weight of the newest answer or silence in the part of the fleet that is unheard
 UNHEARD_LEAST = 0.25  # below it silence is what loss and restarts explain
 KEEP_IDLE = 10 * SECOND  # a customer with a ceiling is remembered so long: a new one's part starts empty
-TURN, ASKED, PUSH = 0, 1 << 40, 2 << 40  # tokens of timers: gossip, answers due, keepers; a request's: id + 1
+# Tokens of timers: gossip, answers due, messages to keepers, rights that are owed; a request's: its id + 1
+TURN, ASKED, PUSH, OWED = 0, 1 << 40, 2 << 40, 3 << 40
 
 
 class Counts(Memory):
@@ -65,7 +67,8 @@
         if plan.ceiling_rate:
             part = self._ceiling_part(account)
             gained = plan.ceiling_rate * part * span / SECOND
-            account.ceiling = min(plan.ceiling_burst * part, account.ceiling + gained)
+            # Rights may lie above, but only until those who wait for them are sent on.
+            account.ceiling = max(account.ceiling, min(plan.ceiling_burst * part, account.ceiling + gained))
         share, total = self._share(account), account.total
         burst = plan.burst * share
         # Debt: what went beyond the quota took nothing from the true store, so the limit never lies below.
@@ -138,7 +141,8 @@
         """All that is due to a keeper, as far as one message holds it: an approval leaves at once while there
         are messages left to send; when they come faster, they share one. Some are left for answers."""
         due = self.due[rank]
-        if self._allowed() < RESERVE + 1:
+        urgent = any((a := self.accounts.get(customer)) and a.waiting for customer in due)
+        if self._allowed() < (URGENT if urgent else RESERVE) + 1:
             if not self.pushing:
                 self.pushing = True
                 wait = (RESERVE + 1 - self.allowance) / self.per_second
@@ -163,7 +167,7 @@
     def _row_for_keeper(self, account: Account) -> bytes:
         self._lift(account)
         most = self.s.plans[account.plan].ceiling_burst * self._ceiling_part(account)
-        account.asked = max(0.0, most - account.ceiling)
+        account.asked = max(0.0, (sum(account.waiting.values()) or most) - account.ceiling)
         return self._row(account, 0, account.asked)
 
     def _answer_due(self) -> None:
@@ -171,7 +175,8 @@
         at, rank, told = self.asked.popleft()
         if self.now - at > 2 * ANSWER_WITHIN:  # we stood still ourselves: nothing is known of the other
             return
-        silent = self.heard.get(rank, -1) < at
+        if silent := self.heard.get(rank, -1) < at:
+            self.mute[rank] = self.mute.get(rank, 0) + 1
         self.unheard += HEAR * (silent - self.unheard)
         for customer, number in told if silent else ():
             if account := self.accounts.get(customer):
@@ -247,30 +252,88 @@
         if self.alone or not 0 <= event.sender < self.s.gateways or abs(age) >= LATE_MOST:
             return
         self.heard[event.sender] = self.now
+        self.mute.pop(event.sender, None)
         merged = []
         for row in message.rows:
             if self._place(self.rank, row.set_first) < row.set_size:
-                account = self._merge(row, event.sender, max(0, age), message.keep)
-                merged.append((account, row.rights if message.keep else 0.0))
+                known = self.accounts.get(row.customer)
+                spent = known and known.counts.get(event.sender)
+                account = self._merge(row, event.sender, max(0, age), message.keep, message.sent)
+                waits = account.counts.get(event.sender) == spent  # it asks, and has not sent anything on
+                merged.append((account, row.rights if message.keep else 0.0, waits))
                 self._hand_on(account, min(row.reach, account.size - 1))
                 if message.keep:
                     self._keep(account)
-        if message.ask:
-            rows = (self._row(account, 0, self._give(account, wanted)) for account, wanted in merged)
+                else:
+                    self._rights_told(account)
+        if message.ask and self._allowed() >= 1:
+            rows = (self._row(a, 0, self._give(a, event.sender, *wants)) for a, *wants in merged)
             self._tell(event.sender, messages.fit(rows))
 
-    def _give(self, account: Account, wanted: float) -> float:
-        """Rights of a ceiling, off our part before they are told, so that loss is safe."""
-        given = min(account.ceiling, wanted) if self._keeper(account) == self.rank else 0.0
+    def _give(self, account: Account, rank: int, wanted: float, waits: bool) -> float:
+        """Rights of a ceiling, off our part before they are told, so that loss is safe. Who has requests that
+        wait gets all that it needs or, soon after, from what refills; parts are topped up from the spare."""
+        if not wanted or self._keeper(account) != self.rank:
+            return 0.0
+        most = self.s.plans[account.plan].ceiling_burst * self._ceiling_part(account)
+        wanted = min(wanted, most)  # more than that is never there at once
+        given = max(0.0, min(wanted, account.ceiling - RIGHTS_SPARE * most * (not waits)))
+        if waits and (given < wanted or account.owed):
+            if not self.owing:
+                self.actions.append(api.SetTimer(self._owed_in(account, wanted), OWED))
+            since, _ = account.owed.get(rank, (self.now, wanted))
+            account.owed[rank] = since, wanted
+            self.owing[account.customer] = None
+            return 0.0
         account.ceiling -= given
         return given
 
-    def _merge(self, row: messages.Row, sender: int, age: int, keep: bool) -> Account:
-        """Newer start, then larger value; the larger limit."""
+    def _owed_in(self, account: Account, wanted: float) -> int:
+        """When a keeper's part should hold so much."""
+        rate = self.s.plans[account.plan].ceiling_rate * self._ceiling_part(account)
+        return 5 * MS + int(max(0.0, wanted - account.ceiling) / rate * SECOND)
+
+    def _pay_owed(self) -> None:
+        """Those who wait longest first; who waits no longer gets none."""
+        soonest = RIGHTS_OWED
+        for customer in list(self.owing):
+            account = self.accounts.get(customer)
+            if account is None:
+                del self.owing[customer]
+                continue
+            self._lift(account)
+            for rank, (at, wanted) in list(account.owed.items()):
+                if self.now - at < RIGHTS_OWED:
+                    if account.ceiling < wanted or self._allowed() < 1:
+                        soonest = min(soonest, self._owed_in(account, wanted))
+                        break
+                    account.ceiling -= wanted
+                    self._tell(rank, [self._row(account, 0, wanted)])
+                del account.owed[rank]
+            if not account.owed:
+                del self.owing[customer]
+        if self.owing:
+            self.actions.append(api.SetTimer(soonest, OWED))
+
+    def _rights_told(self, account: Account) -> None:
+        """Requests that wait for them are sent on first; what is left above our part is void."""
+        for number in list(account.waiting):
+            self._resume(number)
+        if plan_burst := self.s.plans[account.plan].ceiling_burst:
+            account.ceiling = min(account.ceiling, plan_burst * self._ceiling_part(account))
+
+    def _resume(self, request: int) -> None:
+        """Look again at a request that waited; those who keep requests say how."""
+
+    def _merge(self, row: messages.Row, sender: int, age: int, keep: bool, sent: int) -> Account:
+        """Newer start, then larger value; the larger limit. ``sent`` (ms) tells a repeated gift of rights."""
         account = self._account(row.customer, row.plan, row.set_first, row.set_size, trusted=False)
         account.fresh, plan = False, self.s.plans[account.plan]
         self._lift(account)
-        told, given = 0.0, 0.0 if keep else min(row.rights, account.asked)
+        told, given = 0.0, 0.0
+        if row.rights and not keep and age <= RIGHTS_LATE and sent > account.given_at:
+            given = min(row.rights, account.asked)
+            account.given_at = sent if given else account.given_at
         account.ceiling, account.asked = account.ceiling + given, account.asked - given
         for rank, start, value in row.counts:
             if rank != self.rank:  # our own count is ours; an earlier life's is within the total
@@ -293,7 +356,7 @@
             account = self.accounts[customer]
             plan, share = self.s.plans[account.key[0]], self._share(account)
             gained = plan.rate * (self.now - account.risen) / SECOND
-            if account.out or account.limit - account.total + gained < plan.burst * share:
+            if account.out or account.waiting or account.limit - account.total + gained < plan.burst * share:
                 self.idle_queue.append(customer)  # most often: it is in use, or its quota not yet full
                 continue
             self._lift(account)
--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -10,7 +10,7 @@
 import math
 
 from . import interface as api
-from .counts import ASKED, INTERVAL, MS, PUSH, REOPEN, SECOND, TURN, Counts
+from .counts import ASKED, INTERVAL, MS, OWED, PUSH, REOPEN, RIGHTS_WITHIN, SECOND, TURN, Counts
 from .interface import Effect, Group, ListKind, Outcome, Phase
 from .state import Attempt, Host, Request
 
@@ -35,6 +35,7 @@
 
 # Attempts
 LEAVE, HOLD = 30 * MS, 20 * MS  # a held request ends before its time is up / between looks for a server
+MUTE = 2  # answers in a row that a keeper fails to give: nobody waits for it until it is heard
 HELD_MOST = 0.45  # of its time that a request waits for a server: who waits longer has no time left elsewhere
 REPEAT_BUDGET, REPEAT_MOST = 0.05, 5.0  # further attempts earned by each request, saved up: no retry storms
 SHED = 0.25  # of the aim beyond the usual time: slower, a request is refused
@@ -54,8 +55,12 @@
         self.util = names.index("util") if "util" in names else None
         self.handed_over = False  # a successor has the counts: no first send any more
 
-    def start(self) -> list[api.Action]:
-        """The first actions, once the gateway is up."""
+    def start(self, since: int | None = None) -> list[api.Action]:
+        """The first actions, once the gateway is up.
+
+        ``since`` (us): from when on no earlier life of it sends; parts of ceilings fill from then.
+        """
+        self.started = min(self.started, since if since is not None else self.started)
         return [api.SetTimer(INTERVAL, TURN)] + [api.AskList()] * self.s.asks_for_list
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
@@ -94,7 +99,7 @@
             return self._end(request)
         first = not request.attempts
         if first and (self.handed_over or not self._admits(request)):
-            return self._end(request)
+            return None if self._waits(request) else self._end(request)
         host = self._choose(request)
         if host is None:
             span = min(HOLD, last_call - self.now)
@@ -110,9 +115,6 @@
         account = self._account(event.customer, event.plan, event.set_first, event.set_size, trusted=True)
         plan, request.account = self.s.plans[account.plan], account
         self._lift(account)
-        if plan.ceiling_rate and account.ceiling < event.units:
-            self._tell_keeper(account, 0)
-            return False
         if plan.open:  # what others approved lately is taken to be out for as long as usual
             others = sum(self.now - at < self.usual[event.kind] for at in account.others)
             if account.out + others >= plan.open:
@@ -120,7 +122,37 @@
         room = account.room
         if account.fresh and self.rank in account.counts:  # unheard: a share, at least one request
             room = min(room, plan.burst / account.size - account.counts[self.rank][1])
-        return not plan.rate or (not account.closed and room >= event.units)
+        if plan.rate and (account.closed or room < event.units):
+            return False
+        request.short = plan.ceiling_rate > 0 and account.ceiling < event.units
+        return not request.short
+
+    def _waits(self, request: Request) -> bool:
+        """Only the ceiling's part here is short: its keeper is asked for rights, which are a message away."""
+        if not request.short or self.handed_over:
+            return False
+        account, number, units = request.account, request.event.request, request.event.units
+        plan, keeper = self.s.plans[account.plan], self._keeper(account)
+        if not request.waited:
+            account.waiting[number] = units
+            self._tell_keeper(account, 0)
+        span = RIGHTS_WITHIN
+        if keeper == self.rank or self.alone:  # nobody is asked: only what refills in time counts
+            rate = plan.ceiling_rate * self._ceiling_part(account)
+            span = int((units - account.ceiling) / rate * SECOND) + MS
+        most = min(RIGHTS_WITHIN, request.until - LEAVE - self.now)
+        if request.waited or self.mute.get(keeper, 0) >= MUTE or span > most:
+            account.waiting.pop(number, None)
+            return False
+        request.waited = True
+        self.actions.append(api.SetTimer(span, number + 1))
+        return True
+
+    def _resume(self, request: int) -> None:
+        """Rights came for a customer with requests that wait."""
+        waiting = self.requests[request]
+        if waiting.account.ceiling >= waiting.event.units:
+            self._advance(waiting)
 
     def _patience(self, request: Request) -> float:
         """The longest expected answer time at which a request is let in: it must still be in time."""
@@ -208,6 +240,7 @@
         """Every send passes here."""
         self.untried.pop(host.entry.server, None)
         if not request.attempts:
+            request.account.waiting.pop(request.event.request, None)
             self._spend(request.account, request.event.units)
         if not host.out:
             host.active = self.now
@@ -243,6 +276,8 @@
     def _drop(self, request: Request) -> None:
         """Nothing more is owed: forget the request and call off what is still out."""
         self.requests.pop(request.event.request, None)
+        if request.account:
+            request.account.waiting.pop(request.event.request, None)
         if self.s.may_cancel and request.out:
             self.actions.append(api.Cancel(request.event.request, len(request.attempts) - 1))
 
@@ -258,6 +293,8 @@
             self._answer_due()
         elif event.token == PUSH:
             self._push_due()
+        elif event.token == OWED:
+            self._pay_owed()
         elif request and not request.out:
             self._advance(request)
 
--- a/orchidlane/state.py
+++ b/orchidlane/state.py
@@ -27,6 +27,11 @@
     spread: int = 0  # when its set was last told
     ceiling: float = 0.0  # units that its ceiling lets us send
     asked: float = 0.0  # rights asked for and not yet given
+    given_at: int = 0  # ms: when those that came last were sent
+    waiting: dict[int, float] = field(default_factory=dict)  # requests that wait for rights: their units
+    owed: dict[int, tuple[int, float]] = field(
+        default_factory=dict
+    )  # as their keeper: rank -> since when, rights
     used: int = 0  # when it was last let in
     closed: bool = False  # it was fast and spent nearly all: refused until a good part is back
 
@@ -131,6 +136,8 @@
     lot: float = 0.0  # drawn anew for each attempt: which cold server it may try
     account: Account | None = None  # known once it is admitted
     attempts: list[Attempt] = field(default_factory=list)
+    short: bool = False  # nothing but its customer's ceiling keeps it, as of the last look
+    waited: bool = False  # for rights of its customer's ceiling: only once
 
     @property
     def out(self) -> list[Attempt]:
@@ -154,9 +161,11 @@
         self.idle_queue: deque[int] = deque()  # customers, in the order of their next look
         self.changed: dict[int, None] = {}  # customers whose counts changed since they were told
         self.heard: dict[int, int] = {}  # rank -> when it was last heard
+        self.mute: dict[int, int] = {}  # rank -> answers in a row that it owed and did not give
         self.due: dict[int, dict[int, int]] = {}  # keeper's rank -> customers, which of their keepers it is
         self.pushing = False  # a timer for what is due is set
         self.asked: deque[tuple[int, int, list]] = deque()  # when, rank, customers and which of their keepers
+        self.owing: dict[int, None] = {}  # customers to whose gateways rights are owed
         self.hosts: dict[api.Server, Host] = {}
         self.met = Known(0)  # by all servers together
         self.zones_met: dict[int, Known] = {}  # by those of one zone
--- a/saffrongw/__main__.py
+++ b/saffrongw/__main__.py
@@ -5,7 +5,9 @@
 import os
 import sys
 
-from .gateway.process import run
+from .gateway import birth  # noqa: F401 - first, to note when the process began
+
+from .gateway.process import run  # isort: skip
 
 
 def main() -> int:
--- a/saffrongw/gateway/driver.py
+++ b/saffrongw/gateway/driver.py
@@ -16,6 +16,7 @@
 from orchidlane import interface as api
 from orchidlane.rules import Gateway
 
+from .birth import began
 from .config import HostList
 from .figures import Figures
 from .streams import LongValue
@@ -119,7 +120,8 @@
 
     def start(self, known: HostList) -> None:
         """The first actions, and the list as it was last known, before any client is served."""
-        self._carry_out(self.gateway.start())
+        now = self.clock()
+        self._carry_out(self.gateway.start(now if self.succeeds else began(now)))
         self.listed(known, cached=True)
 
     # -- events ---------------------------------------------------------------------------------------------
--- /dev/null
+++ b/tests/orchidlane/test_ceiling_rights.py
@@ -0,0 +1,146 @@
+"""A customer's ceiling at gateways that hold too little of it: they ask its keeper and wait a message's time."""
+
+from __future__ import annotations
+
+import pytest
+from conftest import SECOND, T0, Bench, of
+
+from orchidlane import interface as api
+from orchidlane import messages
+from orchidlane.counts import RIGHTS_OWED, RIGHTS_WITHIN
+from orchidlane.messages import Row
+
+CUSTOMER, CEILED, SIZE = 1, 2, 3  # its store holds 16 units and gains 8 a second
+MS = 1_000
+ASKER = Bench().gateway
+KEEPER = next(r for r in range(SIZE) if r == ASKER._keeper(ASKER._account(CUSTOMER, CEILED, 0, SIZE, True)))
+OTHER, THIRD = (KEEPER + 1) % SIZE, (KEEPER + 2) % SIZE
+
+
+def hear(bench: Bench, sender: int, rights: float, counts=(), keep=False, ago=0) -> list:
+    """A peer's word: rights given, or wanted (keep); sent so long ago (ms)."""
+    sent = bench.now // MS - ago
+    row = Row(CUSTOMER, CEILED, 0, SIZE, 0, 8.0, 0.0, rights, counts)
+    body = messages.pack(sent, keep, keep, [messages.pack_row(row, sent, SIZE)])
+    return bench.feed(api.PeerMessage(sender, body))
+
+
+def rights(actions, peer: int) -> list[float]:
+    """What the rows to a peer ask for or give."""
+    bodies = [a.body for a in of(actions, api.TellPeer) if a.peer == peer]
+    told = [messages.unpack(body, T0 // MS + 60_000, SIZE, 9) for body in bodies]
+    return [row.rights for message in told for row in message.rows]
+
+
+def ask(bench: Bench, number: int, **more) -> list:
+    return bench.ask(number, customer=CUSTOMER, plan=CEILED, **more)
+
+
+def finals(actions) -> list:
+    return of(actions, (api.Refuse, api.Fail))
+
+
+def test_a_request_waits_for_rights_and_goes_out_when_they_come():
+    bench = Bench(rank=OTHER)
+    asked = ask(bench, 1)
+    assert not finals(asked) and rights(asked, KEEPER) == [1.0]
+    bench.run(30 * MS)
+    came = hear(bench, KEEPER, 1.0)
+    assert [send.request for send in of(came, api.Send)] == [1]
+    assert not finals(bench.run(SECOND))
+
+
+def test_several_that_wait_are_asked_for_together_and_go_out_in_their_order():
+    bench = Bench(rank=OTHER)
+    for number in (1, 2, 3):
+        asked = ask(bench, number)
+    assert rights(asked, KEEPER) == [3.0]
+    assert [send.request for send in of(hear(bench, KEEPER, 2.0), api.Send)] == [1, 2]
+    assert [answer.request for answer in finals(bench.run(RIGHTS_WITHIN))] == [3]
+
+
+def test_without_an_answer_it_is_refused_once_and_a_second_silence_makes_the_next_wait_no_more():
+    bench = Bench(rank=OTHER)
+    ask(bench, 1)
+    assert not finals(bench.run(RIGHTS_WITHIN - 2 * MS))
+    assert len(finals(bench.run(SECOND))) == 1
+    ask(bench, 2)
+    bench.run(250 * MS)
+    bench.gateway.accounts[CUSTOMER].ceiling = 0.0
+    assert len(finals(ask(bench, 3))) == 1  # at once
+    hear(bench, KEEPER, 0.0)
+    bench.gateway.accounts[CUSTOMER].ceiling = 0.0
+    assert not finals(ask(bench, 4))  # it lives: waiting is worth it again
+
+
+def test_a_request_that_is_nearly_over_does_not_wait():
+    assert len(finals(ask(Bench(rank=OTHER), 1, left=150 * MS))) == 1
+
+
+def test_rights_that_come_late_or_twice_are_void():
+    bench = Bench(rank=OTHER)
+    ask(bench, 1)
+    assert not of(hear(bench, KEEPER, 1.0, ago=300), api.Send)
+    assert of(hear(bench, KEEPER, 1.0), api.Send)
+    hear(bench, KEEPER, 1.0)
+    assert bench.gateway.accounts[CUSTOMER].ceiling < 1.0
+
+
+def test_rights_beyond_ones_part_last_only_for_those_that_wait():
+    bench = Bench(rank=OTHER)
+    for number in range(1, 7):
+        ask(bench, number)
+    for number in range(1, 6):
+        bench.feed(api.ClientGone(number))
+    hear(bench, KEEPER, 6.0)
+    assert bench.gateway.accounts[CUSTOMER].ceiling <= 16 / (2 * SIZE)
+
+
+def keeper(level: float) -> Bench:
+    """The keeper with so many units of its part, which gains 16 / 3 a second and holds 32 / 3."""
+    bench = Bench(rank=KEEPER)
+    hear(bench, OTHER, 0.0, keep=True)
+    bench.gateway.accounts[CUSTOMER].ceiling = level
+    return bench
+
+
+def test_a_keeper_serves_those_that_wait_before_it_tops_up():
+    bench = keeper(3.0)
+    start = T0 // MS // messages.TICK
+    assert rights(hear(bench, OTHER, 1.0, ((OTHER, start, 1.0),), keep=True), OTHER) == [
+        0.0
+    ]  # it sent one on
+    assert rights(hear(bench, THIRD, 2.0, keep=True), THIRD) == [2.0]  # it has one that waits
+
+
+def test_a_keeper_that_is_short_owes_and_pays_in_order_from_what_refills():
+    bench = keeper(0.5)
+    assert rights(hear(bench, OTHER, 1.0, keep=True), OTHER) == [0.0]
+    hear(bench, THIRD, 0.25, keep=True)
+    paid = bench.run(RIGHTS_OWED)
+    assert rights(paid, OTHER) == [1.0] and rights(paid, THIRD) == [0.25]
+    assert [a.peer for a in of(paid, api.TellPeer) if rights([a], a.peer) != [0.0]] == [OTHER, THIRD]
+    assert bench.gateway.accounts[CUSTOMER].ceiling == pytest.approx(0.5 - 1.25 + 0.15 * 16 / 3, abs=0.03)
+
+
+def test_what_a_keeper_owes_ends_and_leaves_nothing_behind():
+    bench = keeper(0.0)
+    hear(bench, OTHER, 8.0, keep=True)
+    assert rights(bench.run(10 * SECOND), OTHER) == []
+    assert not bench.gateway.owing and not bench.gateway.accounts[CUSTOMER].owed
+
+
+def test_the_keepers_own_request_waits_for_what_refills_in_time():
+    bench = keeper(0.5)
+    assert not finals(ask(bench, 1))
+    assert of(bench.run(RIGHTS_WITHIN), api.Send)
+    bench = keeper(-4.0)
+    assert len(finals(ask(bench, 1))) == 1  # not within the time that one waits
+
+
+def test_parts_fill_from_when_the_process_began():
+    bench = Bench(rank=KEEPER, now=T0)
+    bench.gateway.start(T0 - SECOND // 2)
+    (send,) = of(ask(bench, 1), api.Send)
+    assert send.request == 1
+    assert bench.gateway.accounts[CUSTOMER].ceiling == pytest.approx(0.5 * 16 / 3 - 1)
