Gateways ask for lists by the fleet's size and the service's word, not in step

Fixed seconds were the cause: discovery.py's first call at once, for the whole list, its back-off of 0.05 to 1 s and its watch of 2 s, whatever the number of gateways.

Change: gateway/asking.py, pure, holds the whole watch (what is out, when the next thing is done); discovery.py only does what it says.

--- a/orchidlane/counts.py
+++ b/orchidlane/counts.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from itertools import islice
 
@@ -167,7 +168,8 @@
     def _row_for_keeper(self, account: Account) -> bytes:
         self._lift(account)
         most = self.s.plans[account.plan].ceiling_burst * self._ceiling_part(account)
-        account.asked = max(0.0, (sum(account.waiting.values()) or most) - account.ceiling)
+        lacks = max(0.0, (sum(account.waiting.values()) or most) - account.ceiling)
+        account.asked = math.ceil(lacks * messages.SCALE) / messages.SCALE  # what travels is rounded down
         return self._row(account, 0, account.asked)
 
     def _answer_due(self) -> None:
--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -10,7 +10,19 @@
 import math
 
 from . import interface as api
-from .counts import ASKED, INTERVAL, MS, OWED, PUSH, REOPEN, RIGHTS_WITHIN, SECOND, TURN, Counts
+from .counts import (
+    ASKED,
+    INTERVAL,
+    MS,
+    OWED,
+    PUSH,
+    REOPEN,
+    RIGHTS_WITHIN,
+    SECOND,
+    TURN,
+    UNHEARD_LEAST,
+    Counts,
+)
 from .interface import Effect, Group, ListKind, Outcome, Phase
 from .state import Attempt, Host, Request
 
@@ -35,7 +47,7 @@
 
 # Attempts
 LEAVE, HOLD = 30 * MS, 20 * MS  # a held request ends before its time is up / between looks for a server
-MUTE = 2  # answers in a row that a keeper fails to give: nobody waits for it until it is heard
+MUTE = 2  # silences in a row (one where many are silent) after which a keeper is not waited for until heard
 HELD_MOST = 0.45  # of its time that a request waits for a server: who waits longer has no time left elsewhere
 REPEAT_BUDGET, REPEAT_MOST = 0.05, 5.0  # further attempts earned by each request, saved up: no retry storms
 SHED = 0.25  # of the aim beyond the usual time: slower, a request is refused
@@ -141,7 +153,8 @@
             rate = plan.ceiling_rate * self._ceiling_part(account)
             span = int((units - account.ceiling) / rate * SECOND) + MS
         most = min(RIGHTS_WITHIN, request.until - LEAVE - self.now)
-        if request.waited or self.mute.get(keeper, 0) >= MUTE or span > most:
+        patience = MUTE if self.unheard < UNHEARD_LEAST else 1
+        if request.waited or self.mute.get(keeper, 0) >= patience or span > most:
             account.waiting.pop(number, None)
             return False
         request.waited = True
--- /dev/null
+++ b/saffrongw/gateway/asking.py
@@ -0,0 +1,203 @@
+"""When a gateway asks its source of lists, for what, and how long it waits for the answer. Pure: time in seconds.
+
+The load that it makes. With G gateways, a call that costs the service c seconds of its one worker, and calls drawn
+evenly over a span S, the worker is busy for G c / S of the time. Every span here is that turned round,
+
+    S = pace * G * c / USE,
+
+with c = ``WHOLE`` or ``CHANGES``: guesses for a service that nobody knows yet. ``pace`` (1 to ``PACE_MOST``) is what
+the service says of them: a refusal or a silence doubles it, an answer that took long too, a quick one halves it. So it
+is as long as the fleet is large and as the service is slow, and for three gateways all spans are a blink.
+
+- *First call.* Only what is newer than the list that is known already, since that is the cheap one. The queue that all
+  make by asking in one moment, G c, does no harm while it is shorter than the service lets calls wait: a gateway waits
+  a draw of what it is longer (``first``). So one that starts alone among 200 asks within 0.7 s, among 100 at once.
+- *Calls again* after a lost connection: a draw of S for changes, doubled with each failure up to S for whole lists.
+- *Calls again* after a refusal (503): a draw of S for whole lists, or of the time in which the settings say that the
+  service takes a call of every gateway, if that is longer; doubled with each refusal; after ``Retry-After`` at the
+  earliest.
+- Who has served no client yet waits twice as long for either.
+- *Watches* last long enough for the answers without news to use ``WATCH_USE`` of the worker at most.
+- *One whole list* some time after a start that only asked for changes, for the case that a registry began to count anew
+  and has passed the number that this gateway knew.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+WHOLE, CHANGES = 0.025, 0.005  # seconds of the service's worker that a call is taken to cost
+USE, WATCH_USE = 0.8, 0.1  # of the worker's time: by calls of gateways that start / by watches without news
+QUEUE = 0.5  # seconds of queue at the service that a start of all may make
+PACE_MOST = 8.0
+PATIENCE_MOST = 10.0  # seconds that a call is waited for because of the fleet's size
+SLOW, QUICK = 0.5, 0.1  # seconds: an answer that took longer, or less, tells of the service's load
+BACK_OFF, BACK_OFF_LEAST = (
+    0.05,
+    1.0,
+)  # seconds: span of the first draw / of the last one, however small the fleet
+TURNED_AWAY_MOST = 4  # times the span after a first refusal
+RETRY_AFTER_MOST = 120.0  # seconds that a service may ask for
+WAIT, WAIT_MOST = 2.0, 30.0  # seconds that a watch lasts: a silent agent is noticed only after that
+CONFIRM = 60.0  # seconds after the start, and as long a draw besides, until the whole list is asked for once
+NEW = 2.0  # times as long waits who has no clients yet
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One question: what is newer than a version (None: the whole list), waiting for it; its answer is due within."""
+
+    version: int | None
+    wait: float
+    within: float
+
+
+class Asking:
+    """One gateway's watch: what it knows, what is out, when it does the next thing.
+
+    It is told what happens (``connected``, ``answered``, ``refused``, ``lost``) and asked for what to do when
+    ``next_at`` has come: connect, or give the connection up.
+    """
+
+    def __init__(
+        self,
+        gateways: int,
+        draw: random.Random,
+        version: int | None = None,
+        ask_within: float = 0.0,
+        wait: float | None = None,
+        answer_within: float = 1.0,
+        has_clients: Callable[[], bool] = lambda: True,
+    ) -> None:
+        self.gateways, self.random, self.ask_within = max(1, gateways), draw, ask_within
+        self.answer_within, self.has_clients = answer_within, has_clients
+        self.wait = wait if wait is not None else min(WAIT_MOST, max(WAIT, self.load(CHANGES) / WATCH_USE))
+        self.version = version or None  # of the list that was heard last; a 0 tells nothing
+        self.pace = 1.0
+        self.failures = self.refusals = 0  # in a row
+        self.out: Call | None = None
+        self.asked_at = 0.0
+        self.connecting = False
+        self.gave_up = False  # the connection that is to be lost next was silent
+        self.connect_at: float | None = None
+        self.silent_at: float | None = None  # the answer that is out is not waited for any longer
+        self.confirm_at: float | None = None
+
+    # -- spans ------------------------------------------------------------------------------------------------
+
+    def load(self, cost: float) -> float:
+        """Seconds that a call of every gateway keeps the service's worker busy."""
+        return self.gateways * cost
+
+    def first(self) -> float:
+        """Over which the first calls are drawn."""
+        load = self.load(CHANGES if self.version else WHOLE)
+        return max(0.0, load - QUEUE) / USE
+
+    def after_loss(self) -> float:
+        """Over which the next try is drawn when a connection, or the service, has failed."""
+        least, most = (self.pace * self.load(cost) / USE for cost in (CHANGES, WHOLE))
+        least, most = max(BACK_OFF, least), max(BACK_OFF_LEAST, most)
+        return min(most, least * 2 ** min(16, self.failures)) * self._newcomer()
+
+    def after_refusal(self) -> float:
+        """Over which the next try is drawn when the service has no room; what it turns away costs it too."""
+        span = max(self.ask_within, self.load(WHOLE) / USE)
+        return span * min(TURNED_AWAY_MOST, 2 ** min(16, self.refusals)) * self._newcomer()
+
+    def _newcomer(self) -> float:
+        return 1.0 if self.has_clients() else NEW
+
+    def _draw(self, span: float) -> float:
+        return span * (1 - self.random.random())
+
+    # -- what happens -----------------------------------------------------------------------------------------
+
+    def begin(self, now: float, at_once: bool = False) -> None:
+        """Start, or start anew elsewhere."""
+        self.failures = self.refusals = 0
+        self.pace = 1.0
+        self._over()
+        self.gave_up = False
+        self.connect_at = now if at_once else now + self._draw(self.first())
+        self.confirm_at = now + CONFIRM + self._draw(max(CONFIRM, self.load(WHOLE) / WATCH_USE))
+
+    def move(self, now: float) -> None:
+        """Another service: what the old one counted means nothing there."""
+        self.version = None
+        self.begin(now, at_once=True)
+
+    def next_at(self) -> float | None:
+        """When ``due`` is to be called, at the latest."""
+        times = [at for at in (self.connect_at, self.silent_at) if at is not None]
+        return min(times) if times else None
+
+    def due(self, now: float) -> str:
+        """What to do now: ``connect``, ``abort`` (a silent connection; ``lost`` is to follow) or nothing."""
+        if self.silent_at is not None and now >= self.silent_at:
+            self.silent_at, self.gave_up = None, True
+            return "abort"
+        if self.connect_at is not None and now >= self.connect_at:
+            self.connect_at, self.connecting = None, True
+            return "connect"
+        return ""
+
+    def connected(self, now: float) -> Call:
+        """A new connection: what changed since is not known; no waiting before the first answer."""
+        self.connecting = False
+        return self._ask(now, Call(self.version, 0.0, self._patience()))
+
+    def answered(self, now: float, version: int) -> Call:
+        """An answer has come; the next call, which is to go out at once."""
+        if self.out is not None:
+            took = now - self.asked_at
+            if not self.out.wait and took > SLOW:
+                self.pace = min(PACE_MOST, 2 * self.pace)
+            elif took < QUICK:
+                self.pace = max(1.0, self.pace / 2)
+        self.failures = self.refusals = 0
+        whole = self.out is None or self.out.version is None
+        if whole and self.confirm_at is not None:
+            self.confirm_at = None
+        if not whole and version < (self.version or 0):  # a registry that counts anew
+            self.version = None
+        else:
+            self.version = version
+            if self.confirm_at is not None and now >= self.confirm_at:
+                return self._ask(now, Call(None, 0.0, self._patience()))
+        if self.version is None:
+            return self._ask(now, Call(None, 0.0, self._patience()))
+        return self._ask(now, Call(version, self.wait, self.wait + self._patience()))
+
+    def refused(self, now: float, retry_after: float = 0.0) -> None:
+        """The service has no room (503); the connection is to be closed."""
+        self._over()
+        span = self.after_refusal()
+        self.refusals += 1
+        self.connect_at = now + min(RETRY_AFTER_MOST, max(0.0, retry_after)) + self._draw(span)
+
+    def lost(self, now: float) -> None:
+        """The connection ended, never came up, or was given up."""
+        if self.connect_at is not None and not self.connecting:  # it was refused, and is closed for that
+            return
+        at_work = self.out is not None and not self.out.wait  # a watch's silence tells nothing of its load
+        self._over()
+        if self.gave_up and at_work:
+            self.pace = min(PACE_MOST, 2 * self.pace)
+        self.gave_up = False
+        span = self.after_loss()
+        self.failures += 1
+        self.connect_at = now + self._draw(span)
+
+    def _patience(self) -> float:
+        """Giving a call up makes its work vain: the queue of the whole fleet, and a slow service, are waited for."""
+        return max(self.answer_within * self.pace, min(PATIENCE_MOST, self.load(WHOLE)))
+
+    def _ask(self, now: float, call: Call) -> Call:
+        self.out, self.asked_at, self.silent_at = call, now, now + call.within
+        return call
+
+    def _over(self) -> None:
+        self.out, self.silent_at, self.connecting = None, None, False
--- a/saffrongw/gateway/process.py
+++ b/saffrongw/gateway/process.py
@@ -6,6 +6,7 @@
 import gc
 import logging
 import os
+import random
 import signal
 import sys
 from collections.abc import Callable
@@ -16,6 +17,7 @@
 
 from orchidlane.wire import WireError
 
+from .asking import Asking
 from .clients import Clients
 from .config import Config, address, parse
 from .discovery import Watch
@@ -112,10 +114,14 @@
     driver.start((inheritance and inheritance.listed) or config.known)
     for service in plugs.services if plugs else ():
         await service.start(driver)
-    ask_within = config.settings.ask_within / 1e6
-    watch = Watch(
-        loop, config.discovery, config.zones, driver.listed, ask_within=ask_within, seed=config.seed
+    asking = Asking(
+        config.settings.gateways,
+        random.Random(config.seed),
+        config.known.version if config.known.hosts else None,
+        config.settings.ask_within / 1e6,
+        has_clients=lambda: driver.last_number > 0,
     )
+    watch = Watch(loop, config.discovery, config.zones, driver.listed, asking)
     watch.start()
 
     def hang_up() -> None:
--- /dev/null
+++ b/tests/gateway/test_asking.py
@@ -0,0 +1,165 @@
+"""When a gateway asks its source of lists: spans by the formula, and what a whole fleet makes of them."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from benchmarks.fleet.lists import Before, Start, play
+from saffrongw.gateway.asking import CHANGES, CONFIRM, QUEUE, RETRY_AFTER_MOST, USE, WHOLE, Asking, Call
+
+
+def asking(gateways: int = 200, version: int | None = 7, **more) -> Asking:
+    new = Asking(gateways, random.Random(1), version, **more)
+    new.begin(0.0)
+    return new
+
+
+def connected(now: float = 0.0, **more) -> Asking:
+    """One whose first call is out."""
+    new = asking(**more)
+    assert new.due(new.next_at()) == "connect"
+    new.connected(now)
+    return new
+
+
+def test_it_first_asks_for_what_is_newer_without_waiting_then_watches():
+    new = asking(gateways=3)
+    assert new.next_at() == 0.0 and new.due(0.0) == "connect"
+    assert new.connected(0.0) == Call(7, 0.0, 1.0)
+    assert new.answered(0.01, 9) == Call(9, 2.0, 3.0)
+    assert asking(gateways=3, version=0).connected(0.0).version is None  # nothing is known
+
+
+@pytest.mark.parametrize("gateways", [3, 100, 200, 1000])
+def test_the_first_calls_of_all_make_a_queue_no_longer_than_calls_may_wait(gateways):
+    spans = {version: max(asking(gateways, version).first() for _ in range(3)) for version in (None, 7)}
+    for version, cost in ((None, WHOLE), (7, CHANGES)):
+        load = gateways * cost
+        assert spans[version] == pytest.approx(max(0.0, load - QUEUE) / USE)
+        assert load - spans[version] <= QUEUE + 1e-9  # what comes in the span, less what is done in it
+
+
+def test_watches_without_news_take_a_tenth_of_the_worker_at_most():
+    for gateways in (3, 40, 200, 600):
+        assert gateways * CHANGES / asking(gateways).wait <= 0.1 + 1e-9
+    assert asking(3).wait == 2.0
+
+
+def test_after_a_refusal_it_waits_as_the_service_says_and_a_draw_of_the_fleets_span_besides():
+    for said in (0.0, 7.0):
+        waits = []
+        for seed in range(50):
+            new = Asking(200, random.Random(seed), 7)
+            new.begin(0.0)
+            new.due(new.next_at())
+            new.connected(1.0)
+            new.refused(2.0, said)
+            new.lost(2.0)  # its connection is closed for that: no second wait
+            waits.append(new.next_at() - 2.0)
+        assert min(waits) >= said
+        assert said + 0.8 * 200 * WHOLE / USE < max(waits) <= said + 200 * WHOLE / USE
+    new = connected()
+    new.refused(1.0, 1e9)
+    assert new.next_at() < 1.0 + RETRY_AFTER_MOST + 100
+
+
+def test_each_refusal_doubles_the_span_to_a_bound_and_an_answer_ends_that():
+    new, spans = connected(ask_within=10.0), []
+    for _ in range(6):
+        spans.append(new.after_refusal())
+        new.refused(0.0)
+    assert spans == [10.0, 20.0, 40.0, 40.0, 40.0, 40.0]
+    new.due(new.next_at())
+    new.connected(0.0)
+    new.answered(0.01, 8)
+    assert new.after_refusal() == 10.0
+
+
+def test_a_service_that_is_gone_is_tried_again_over_a_span_of_the_fleet():
+    small, large = asking(gateways=3), asking(gateways=200)
+    assert small.after_loss() == 0.05 and large.after_loss() == pytest.approx(200 * CHANGES / USE)
+    for each in (small, large):
+        for now in range(12):
+            assert each.due(each.next_at()) == "connect"
+            each.lost(float(now))
+    assert small.after_loss() == 1.0 and large.after_loss() == pytest.approx(200 * WHOLE / USE)
+
+
+def test_who_has_no_clients_yet_waits_longer():
+    assert asking(has_clients=lambda: False).after_loss() == 2 * asking().after_loss()
+
+
+def test_a_silent_answer_is_given_up_and_only_a_call_that_does_not_watch_tells_of_load():
+    new = connected()
+    assert new.due(new.next_at() - 0.001) == ""
+    assert new.due(new.next_at()) == "abort"
+    new.lost(10.0)
+    assert new.pace == 2.0
+    new.due(new.next_at())
+    new.connected(20.0)
+    new.answered(20.01, 8)
+    assert new.pace == 1.0
+    assert new.due(new.next_at()) == "abort"
+    new.lost(40.0)
+    assert new.pace == 1.0
+
+
+def test_answers_that_took_long_stretch_the_spans_and_quick_ones_shrink_them_again():
+    new = connected(now=0.0)
+    new.answered(0.9, 8)
+    assert new.pace == 2.0
+    new.lost(1.0)
+    new.due(new.next_at())
+    new.connected(2.0)
+    new.answered(2.01, 8)
+    assert new.pace == 1.0
+
+
+def test_a_registry_that_counts_anew_is_asked_for_the_whole_list_and_later_once_in_any_case():
+    new = connected()
+    assert new.answered(0.1, 3).version is None  # it knew 7
+    assert new.answered(0.2, 3).version == 3
+    new = connected()
+    assert new.answered(0.1, 7) == Call(7, 10.0, 15.0)
+    late = new.answered(3 * CONFIRM, 8)
+    assert late.version is None
+    assert new.answered(3 * CONFIRM + 0.1, 8).version == 8
+    assert new.answered(9 * CONFIRM, 8).version == 8  # once
+
+
+def test_another_service_is_asked_at_once_for_everything():
+    new = connected()
+    new.move(5.0)
+    assert new.next_at() == 5.0 and new.due(5.0) == "connect"
+    assert new.connected(5.0).version is None
+
+
+# -- the fleet on the virtual clock ---------------------------------------------------------------------------
+
+
+def test_two_hundred_that_start_at_once_are_current_soon_and_hardly_any_is_turned_away():
+    result = play(Start(200, length=30.0))
+    assert result.current == 200 and result.calls <= 1.5 * 200
+    assert result.busiest <= 1.2 and result.refused < 0.05 * 200
+    assert result.last <= 1.5 * result.least
+    before = play(Start(200, length=30.0, kind=Before))  # what it mends is seen by the same eyes
+    assert before.calls > 3 * result.calls and before.refused > 200 and before.last > 5 * result.last
+
+
+def test_a_service_that_comes_back_after_a_minute_is_not_met_by_all_at_once():
+    result = play(Start(200, down=(5.0, 65.0), length=60.0))
+    assert result.current == 200 and result.calls <= 1.5 * 200
+    assert result.busiest <= 1.2 and result.refused < 0.05 * 200
+    assert result.last <= 1.5 * 200 * WHOLE
+
+
+def test_all_that_start_a_second_time_within_10_s_are_served_again():
+    result = play(Start(200, twice_after=8.0, length=30.0))
+    assert result.current == 200 and result.last <= 1.5 * result.least and result.refused < 10
+
+
+def test_one_that_starts_alone_among_200_is_current_within_a_second():
+    result = play(Start(200, alone=True, length=30.0))
+    assert result.current == 1 and result.last < 1.0
--- a/tests/gateway/test_news.py
+++ b/tests/gateway/test_news.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import heapq
 import json
+import random
 import socket
 
 from conftest import FakeHost, Rig, asyncio_test, until
 
 from orchidlane import messages
+from saffrongw.gateway.asking import Asking
 from saffrongw.gateway.config import parse_hosts
 from saffrongw.gateway.discovery import BODY_MOST, Watch
 from saffrongw.gateway.peers import Peers
@@ -44,10 +45,14 @@
             self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
 
 
+def asking(**changes) -> Asking:
+    return Asking(2, random.Random(1), **changes)
+
+
 async def watched(answers: list, **changes) -> tuple[Agent, list]:
     loop, told, agent = asyncio.get_running_loop(), [], Agent(answers)
     server = await loop.create_server(lambda: agent, "127.0.0.1", 0)
-    Watch(loop, server.sockets[0].getsockname()[:2], ZONES, told.append, **changes).start()
+    Watch(loop, server.sockets[0].getsockname()[:2], ZONES, told.append, asking(**changes)).start()
     return agent, told
 
 
@@ -123,7 +128,7 @@
     agents = [Agent([{"seq": 5, "whole": True, "hosts": [line(name)]}]) for name in "ab"]
     servers = [await loop.create_server(lambda agent=agent: agent, "127.0.0.1", 0) for agent in agents]
     addresses = [server.sockets[0].getsockname()[:2] for server in servers]
-    watch = Watch(loop, addresses[0], ZONES, told.append)
+    watch = Watch(loop, addresses[0], ZONES, told.append, asking())
     watch.start()
     await until(lambda: len(agents[0].asked) == 2)
     watch.move(addresses[1])
@@ -139,9 +144,9 @@
 async def test_the_watch_moves_while_it_backs_off_from_an_agent_that_is_down():
     loop, told, agent = asyncio.get_running_loop(), [], Agent([{"seq": 5, "whole": True, "hosts": []}])
     server = await loop.create_server(lambda: agent, "127.0.0.1", 0)
-    watch = Watch(loop, ("127.0.0.1", 1), ZONES, told.append)
+    watch = Watch(loop, ("127.0.0.1", 1), ZONES, told.append, asking())
     watch.start()
-    await until(lambda: watch.again)
+    await until(lambda: watch.asking.failures)
     watch.move(server.sockets[0].getsockname()[:2])
     await until(lambda: told)
     await asyncio.sleep(0.2)
@@ -162,7 +167,7 @@
 
     agent = Endless([{"seq": 5, "whole": True, "hosts": [line("a")]}])
     server = await loop.create_server(lambda: agent, "127.0.0.1", 0)
-    watch = Watch(loop, server.sockets[0].getsockname()[:2], ZONES, told.append, answer_within=60.0)
+    watch = Watch(loop, server.sockets[0].getsockname()[:2], ZONES, told.append, asking(answer_within=60.0))
     watch.start()
     await until(lambda: told)
     assert agent.connections == 2
@@ -185,69 +190,3 @@
     agent, _ = await watched([whole, 503, {"seq": 1, "whole": False, "hosts": []}, whole], ask_within=0.02)
     await until(lambda: len(agent.asked) == 5)
     assert [("index" in asked) for asked in agent.asked] == [False, True, True, False, True]
-
-
-class Crowded:
-    """A discovery service on a virtual clock: so many lines a second, and what it turns away costs it too."""
-
-    LINES, CALL, HOSTS, TIMEOUT = 400.0, 40, 60, 2.0
-
-    def __init__(self) -> None:
-        self.now, self.free_at, self.calls, self.heap, self.count = 0.0, 0.0, 0, [], 0
-
-    def time(self) -> float:
-        return self.now
-
-    def call_later(self, span: float, what, *args) -> None:
-        self.count += 1
-        heapq.heappush(self.heap, (self.now + span, self.count, what, args))
-
-    def asks(self, watch: Watch) -> None:
-        self.calls += 1
-        begins = max(self.now, self.free_at)
-        ends = begins + (self.CALL + self.HOSTS) / self.LINES
-        if ends - self.now > self.TIMEOUT:
-            self.free_at = begins + self.CALL / self.LINES
-            watch.turned_away()
-            watch._later()
-        else:
-            self.free_at = ends
-            watch.heard_at = self.now
-
-    def run(self, until: float) -> None:
-        while self.heap and self.heap[0][0] < until:
-            self.now, _, what, args = heapq.heappop(self.heap)
-            what(*args)
-
-
-def crowd(kind: type[Watch], gateways: int) -> tuple[Crowded, list[Watch]]:
-    world, watches = Crowded(), []
-    for number in range(gateways):
-        watch = kind(world, ("127.0.0.1", 1), ZONES, print, seed=number)
-        watch.heard_at = None
-        watch.start = lambda watch=watch: world.asks(watch)
-        watches.append(watch)
-        watch.start()
-    world.run(60.0)
-    return world, watches
-
-
-class InStep(Watch):
-    """As it was: all gateways again each second at the latest, and none of them by chance."""
-
-    def turned_away(self) -> None:
-        self.random = None
-
-    def _later(self) -> None:
-        self.again = self.loop.call_later(self.back_off, self.start)
-        self.back_off = min(1.0, 2 * self.back_off)
-
-
-def test_forty_gateways_that_start_at_once_all_get_their_list_from_a_crowded_discovery():
-    """In step each second, they keep it busy with turning them away, and few ever hear anything."""
-    world, watches = crowd(Watch, 40)
-    assert all(watch.heard_at is not None for watch in watches)
-    assert sorted(watch.heard_at for watch in watches)[35] < 25
-    assert world.calls < 4 * 40
-    world, watches = crowd(InStep, 40)
-    assert sum(watch.heard_at is not None for watch in watches) < 20 and world.calls > 1000
--- /dev/null
+++ b/tests/orchidlane/test_ceilings_of_a_fleet.py
@@ -0,0 +1,71 @@
+"""Ceilings over many gateways that start, die and lose messages, on the virtual clock: never more than the store."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from benchmarks.fleet.ceilings import PLAN, SECOND, AtOnce, World, row
+from orchidlane.rules import Gateway
+from standin.fleet.clock import Link
+
+FLEET = {"gateways": 24, "spread": 8, "customers": 16, "heavy": 0.25}
+WIDE = replace(PLAN, rate=60.0, burst=200.0)  # only its ceiling refuses
+BAD = Link((2_500, 18_000), 0.3, 0.3, 0.3, 400_000)
+
+
+def lowest(kind=Gateway, seeds=range(2), link=BAD, **more) -> float:
+    """Of all true stores, with restarts of seven in ten every few seconds."""
+    least = 0.0
+    for seed in seeds:
+        world = World(**FLEET | more, plan=WIDE, heavy_rate=80.0, link=link, kind=kind, seed=seed)
+        for at in (3, 5, 9):
+            world.restart(at * SECOND, 0.7, SECOND // 2)
+        world.fleet.run(14 * SECOND)
+        assert world.counts["sent"] > 500
+        least = min(least, world.lowest)
+    return least
+
+
+@pytest.mark.parametrize("link", [BAD, Link((2_500, 18_000)), Link(loss=1.0)], ids=["bad", "good", "none"])
+def test_no_store_falls_below_its_slack_whatever_becomes_of_messages(link):
+    assert lowest(link=link) >= -PLAN.ceiling_slack
+
+
+def test_keepers_that_give_what_they_keep_are_seen_by_the_stores():
+    class Generous(Gateway):
+        def _give(self, account, rank, wanted, waits):
+            return wanted
+
+    assert lowest(Generous) < -PLAN.ceiling_slack
+
+
+def test_a_fresh_part_at_each_start_is_seen_by_the_stores():
+    class Fresh(Gateway):
+        def _account(self, *args, **more):
+            known = args[0] in self.accounts
+            account = super()._account(*args, **more)
+            if not known:
+                account.ceiling = PLAN.ceiling_burst * self._ceiling_part(account)
+            return account
+
+    assert lowest(Fresh, link=Link((2_500, 18_000))) < -PLAN.ceiling_slack
+
+
+@pytest.mark.parametrize("share", [0.0, 0.7], ids=["all start", "seven in ten restart"])
+def test_after_a_start_few_are_refused_in_vain(share):
+    """No customer asks for more than its quota here: each of these tries could have been served."""
+    calm = FLEET | {"heavy": 0.0, "customers": 24}
+    now, before = (
+        row(World(**calm, kind=kind, seed=1), 8 * SECOND * bool(share), share)[0]
+        for kind in (Gateway, AtOnce)
+    )
+    assert now < 0.08 and now < before
+
+
+def test_a_part_too_small_for_one_request_is_enough_with_rights():
+    """Sets so large that a part never holds a request: all of them were refused."""
+    large = {"gateways": 64, "spread": 40, "customers": 20, "heavy": 0.0}
+    now, before = (row(World(**large, kind=kind, seed=1))[0] for kind in (Gateway, AtOnce))
+    assert now < 0.15 and before > 0.8
