Cut off, each gateway grants the part of a quota that its use was, and goes on asking

Cause, two: counts.py `_share` leaves to unheard gateways what they could spend at worst: with a set of 125 gateways that is 124 of 125 parts, 0.05 units of a burst of 6.

Change: while others are heard a gateway notes which part of a customer's use was its own; cut off, 0.8 of the quota is shared out by these parts and 0.2 evenly, so that all together grant the quota still (a test adds them up). Who has heard nothing of a customer keeps to an even part. A request refused while many are silent asks its keeper, as far as messages allow.

With the asking taken out its test fails.

--- a/orchidlane/counts.py
+++ b/orchidlane/counts.py
@@ -31,6 +31,7 @@
 SPREAD_ABOVE = 0.5  # of the messages of a second that stay for approvals and answers
 KEEPERS = 3  # gateways of a set that are tried
 HEAR = 0.1  # weight of the newest answer or silence in the part of the fleet that is unheard
+EVEN = 0.2  # of a quota that is shared out evenly when nobody is heard; the rest as its use was
 UNHEARD_LEAST = 0.25  # below it silence is what loss and restarts explain
 KEEP_IDLE = 10 * SECOND  # a customer with a ceiling is remembered so long: a new one's part starts empty
 # Tokens of timers: gossip, answers due, messages to keepers, rights that are owed; a request's: its id + 1
@@ -70,6 +71,10 @@
             gained = plan.ceiling_rate * part * span / SECOND
             # Rights may lie above, but only until those who wait for them are sent on.
             account.ceiling = max(account.ceiling, min(plan.ceiling_burst * part, account.ceiling + gained))
+        if self.unheard < UNHEARD_LEAST and not self.alone:
+            own = account.counts.get(self.rank, (0, 0.0))[1]
+            if own < account.total:  # somebody has told of others
+                account.part = own / account.total
         share, total = self._share(account), account.total
         burst = plan.burst * share
         # Debt: what went beyond the quota took nothing from the true store, so the limit never lies below.
@@ -87,9 +92,16 @@
         return room < (REOPEN * share * self.s.plans[plan].burst if account.closed else units)
 
     def _share(self, account: Account) -> float:
-        """The part of the quota that is ours to grant: what unheard gateways may spend is left to them."""
+        """The part of the quota that is ours to grant: what unheard gateways may spend is left to them.
+
+        With nobody heard each has the part of the use that was its own while it heard the others, and an even
+        part of the rest: all together grant the quota, and where a customer's requests come they find room.
+        """
         unheard, size = 1.0 if self.alone else self.unheard, account.key[2]
-        return 1 - unheard * (size - 1) / size if unheard >= UNHEARD_LEAST else 1.0
+        if unheard < UNHEARD_LEAST:
+            return 1.0
+        part = 1 / size if account.part is None else (1 - EVEN) * account.part + EVEN / size
+        return 1 - unheard * (1 - part)
 
     def _ceiling_part(self, account: Account) -> float:
         """Rule 5: each gateway alone fills its part of the ceiling's store, from nothing at its start. Half
--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -135,6 +135,8 @@
         if account.fresh and self.rank in account.counts:  # unheard: a share, at least one request
             room = min(room, plan.burst / account.size - account.counts[self.rank][1])
         if plan.rate and (account.closed or room < event.units):
+            if self.unheard >= UNHEARD_LEAST:  # else nothing is told, and nobody learns that a cut is over
+                self._tell_keeper(account, 0)
             return False
         request.short = plan.ceiling_rate > 0 and account.ceiling < event.units
         return not request.short
--- a/orchidlane/state.py
+++ b/orchidlane/state.py
@@ -33,6 +33,7 @@
         default_factory=dict
     )  # as their keeper: rank -> since when, rights
     used: int = 0  # when it was last let in
+    part: float | None = None  # of its use that was ours, while the others were heard; None: not known
     closed: bool = False  # it was fast and spent nearly all: refused until a good part is back
 
     @property
--- /dev/null
+++ b/tests/orchidlane/test_cut_off.py
@@ -0,0 +1,94 @@
+"""What a gateway grants while it hears nobody, and how it finds out that it hears them again."""
+
+from __future__ import annotations
+
+import pytest
+from conftest import SECOND, Bench, of
+
+from orchidlane import interface as api
+from orchidlane import messages
+from orchidlane.messages import Row
+
+MS = 1_000
+SIZE, CUSTOMER = 8, 7
+
+
+def say(bench: Bench, sender: int, counts, total: float) -> None:
+    """A peer's word on the customer."""
+    sent = bench.now // MS
+    row = Row(CUSTOMER, 0, 0, SIZE, 0, 10.0, total, 0.0, tuple(counts))
+    body = messages.pack(sent, False, False, [messages.pack_row(row, sent, SIZE)])
+    bench.feed(api.PeerMessage(sender, body))
+
+
+def ask(bench: Bench, number: int) -> list:
+    actions = bench.ask(number, customer=CUSTOMER, size=SIZE)
+    for send in of(actions, api.Send):
+        bench.outcome(number, send.server, api.Outcome.SERVED, took=1_000)
+    return actions
+
+
+def user(rank: int, own: int, total: float) -> Bench:
+    """A gateway that has sent so many of the customer's requests and has heard of all of them; then it is cut off."""
+    bench = Bench(rank=rank, gateways=SIZE)
+    say(bench, (rank + 1) % SIZE, (), 0.0)
+    for number in range(own):
+        ask(bench, number + 1)
+    say(bench, (rank + 1) % SIZE, (), total)
+    bench.gateway._lift(bench.gateway.accounts[CUSTOMER])
+    bench.gateway.unheard = 1.0
+    return bench
+
+
+def test_cut_off_each_has_the_part_of_the_quota_that_its_use_was():
+    total = 6.0
+    parts = []
+    for rank, own in ((0, 4), (1, 2), *((rank, 0) for rank in range(2, SIZE))):
+        bench = user(rank, own, total)
+        parts.append(bench.gateway._share(bench.gateway.accounts[CUSTOMER]))
+    assert parts[0] > 0.5 and parts[1] > 0.25 and 0 < parts[2] < 1 / SIZE
+    assert sum(parts) == pytest.approx(1.0)
+    stranger = Bench(rank=3, gateways=SIZE)
+    ask(stranger, 1)
+    stranger.gateway.unheard = 1.0  # it has heard nothing of the customer: an even part
+    assert stranger.gateway._share(stranger.gateway.accounts[CUSTOMER]) == pytest.approx(1 / SIZE)
+
+
+def test_the_part_is_that_of_before_the_cut_however_much_is_granted_in_it():
+    bench = user(0, 2, 8.0)
+    account = bench.gateway.accounts[CUSTOMER]
+    before = bench.gateway._share(account)
+    for number in range(100, 160):
+        ask(bench, number)
+        bench.now += SECOND // 4
+        bench.gateway.unheard = 1.0
+    assert bench.gateway._share(account) == before
+
+
+def test_cut_off_and_refusing_it_still_asks_and_so_hears_that_the_cut_is_over():
+    bench = Bench(rank=0, gateways=SIZE)
+    say(bench, 1, (), 0.0)
+    account = bench.gateway.accounts[CUSTOMER]
+    keeper = bench.gateway._keeper(account)
+    if keeper == 0:
+        pytest.skip("its own keeper")
+    bench.gateway.unheard = 1.0
+    for number in range(1, 41):
+        account.limit = account.total  # nothing of it is left to grant
+        actions = ask(bench, number)
+        assert not of(actions, api.Send)
+        if of(actions, api.TellPeer):
+            bench.now += 20 * MS
+            say(bench, keeper, (), 0.0)
+        bench.run(250 * MS)
+        if bench.gateway.unheard < 0.25:
+            break
+    assert bench.gateway.unheard < 0.25
+
+
+def test_heard_it_asks_nobody_for_what_it_refuses():
+    bench = Bench(rank=0, gateways=SIZE)
+    say(bench, 1, (), 500.0)
+    account = bench.gateway.accounts[CUSTOMER]
+    account.limit = account.total
+    assert not of(ask(bench, 1), api.TellPeer)
