--- a/benchmarks/fleet/lease_case.py
+++ b/benchmarks/fleet/lease_case.py
@@ -172,7 +172,9 @@
                 now = self.asker_now(state.tick)
                 offered = 0  # what is given back is offered, with the number above which to ask
                 if self.gives_back:
-                    offered = max((v.entries[LEASE].promised[0] for v in state.voters if v.entries), default=0)
+                    offered = max(
+                        (v.entries[LEASE].promised[0] for v in state.voters if v.entries), default=0
+                    )
                 new.want(now, LEASE, n=offered)
                 out = new.due(now)
                 wants = tuple(w - (n == place) for n, w in enumerate(state.wants))
