--- a/benchmarks/fleet/lists.py
+++ b/benchmarks/fleet/lists.py
@@ -2,7 +2,6 @@
 
     python -m benchmarks.fleet.lists              the table: fleets of 3 to 1,000, every kind of start
     python -m benchmarks.fleet.lists --before     the same with the waits of the version before
-    python -m benchmarks.fleet.lists --plot FILE  gateways current and calls a second, before and after, as a picture
 
 Current is a gateway that has heard an answer since the event: its start, or the end of a silence. Least is the time in
 which the service could serve them all if they came in a row, each with the call that the service could answer most
--- a/benchmarks/list_start.py
+++ b/benchmarks/list_start.py
@@ -1,6 +1,7 @@
 """Real gateways that all start at one moment, against one list service that does one call at a time.
 
     python -m benchmarks.list_start [--gateways 200] [--whole-ms 25] [--silence 60] [--program FOLDER] [--out FILE]
+    python -m benchmarks.list_start --plot PICTURE BEFORE AFTER     of two files that --out wrote
 
 ``--program`` names a checkout of another version, for before and after; ``--silence`` has the service say nothing for
 so many seconds from the start on. Each gateway asks at a port of its own, so that it is known who asked; all ports
@@ -208,6 +209,32 @@
     }  # fmt: skip
 
 
+def plot(picture: Path, files: list[Path]) -> None:
+    """Gateways that are current, and calls in each second, of a run before and one after a change."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, (upper, lower) = pyplot.subplots(2, 1, sharex=True, figsize=(8, 6), layout="constrained")
+    for name, colour, file in zip(("before", "now"), ("tab:red", "tab:blue"), files, strict=True):
+        found = json.loads(file.read_text())
+        times, came = found["times"], found["came"]
+        upper.step([0.0, *times], range(len(times) + 1), where="post", color=colour, label=name)
+        seconds = range(int(max(came)) + 2)
+        calls = [sum(s <= at < s + 1 for at in came) for s in seconds]
+        lower.step(seconds, calls, where="post", color=colour, label=f"{name}: {len(came)} calls")
+    upper.set_ylabel("gateways that are current")
+    upper.set_title("200 gateways started at one moment, one list service, 25 ms a whole list")
+    lower.set_ylabel("calls in a second")
+    lower.set_xlabel("seconds since the first process was begun")
+    for axes in (upper, lower):
+        axes.set_ylim(bottom=0)
+        axes.grid(alpha=0.3)
+        axes.legend()
+    figure.savefig(picture, dpi=110)
+
+
 class Quiet:
     """No record is kept here."""
 
@@ -226,7 +253,11 @@
     parser.add_argument("--within", type=float, default=60.0, help="seconds after all are ready")
     parser.add_argument("--program", type=Path, default=Path.cwd())
     parser.add_argument("--out", type=Path)
+    parser.add_argument("--plot", type=Path, nargs=3, metavar=("PICTURE", "BEFORE", "AFTER"))
     chosen = parser.parse_args()
+    if chosen.plot:
+        plot(chosen.plot[0], chosen.plot[1:])
+        return
     whole = chosen.whole_ms / 1000
     costs = Costs(whole, whole / 5, whole / 10)
     found = asyncio.run(start(chosen.gateways, costs, chosen.silence, chosen.program, chosen.within))
--- a/orchidlane/counts.py
+++ b/orchidlane/counts.py
@@ -67,10 +67,9 @@
         """Raise the limit by the time gone; room stays within the burst."""
         plan, span, account.risen = self.s.plans[account.key[0]], self.now - account.risen, self.now
         if plan.ceiling_rate:
-            part = self._ceiling_part(account)
-            gained = plan.ceiling_rate * part * span / SECOND
+            gained = plan.ceiling_rate * self._ceiling_part(account) * span / SECOND
             # Rights may lie above, but only until those who wait for them are sent on.
-            account.ceiling = max(account.ceiling, min(plan.ceiling_burst * part, account.ceiling + gained))
+            account.ceiling = max(account.ceiling, min(self._ceiling_most(account), account.ceiling + gained))
         if self.unheard < UNHEARD_LEAST and not self.alone:
             own = account.counts.get(self.rank, (0, 0.0))[1]
             if own < account.total:  # somebody has told of others
@@ -108,6 +107,10 @@
         is the first keeper's, who gives of it what others want: it takes that off before it tells them."""
         return (1 + account.size * (self._keeper(account) == self.rank)) / (2 * account.size)
 
+    def _ceiling_most(self, account: Account) -> float:
+        """What our part of the ceiling's store holds when it is full."""
+        return self.s.plans[account.plan].ceiling_burst * self._ceiling_part(account)
+
     def _spend(self, account: Account, units: float) -> None:
         account.used = self.now
         start, value = account.counts.get(self.rank, (self.now // MS // messages.TICK, 0.0))
@@ -179,8 +182,7 @@
 
     def _row_for_keeper(self, account: Account) -> bytes:
         self._lift(account)
-        most = self.s.plans[account.plan].ceiling_burst * self._ceiling_part(account)
-        lacks = max(0.0, (sum(account.waiting.values()) or most) - account.ceiling)
+        lacks = max(0.0, (sum(account.waiting.values()) or self._ceiling_most(account)) - account.ceiling)
         account.asked = math.ceil(lacks * messages.SCALE) / messages.SCALE  # what travels is rounded down
         return self._row(account, 0, account.asked)
 
@@ -289,7 +291,7 @@
         wait gets all that it needs or, soon after, from what refills; parts are topped up from the spare."""
         if not wanted or self._keeper(account) != self.rank:
             return 0.0
-        most = self.s.plans[account.plan].ceiling_burst * self._ceiling_part(account)
+        most = self._ceiling_most(account)
         wanted = min(wanted, most)  # more than that is never there at once
         given = max(0.0, min(wanted, account.ceiling - RIGHTS_SPARE * most * (not waits)))
         if waits and (given < wanted or account.owed):
@@ -333,8 +335,8 @@
         """Requests that wait for them are sent on first; what is left above our part is void."""
         for number in list(account.waiting):
             self._resume(number)
-        if plan_burst := self.s.plans[account.plan].ceiling_burst:
-            account.ceiling = min(account.ceiling, plan_burst * self._ceiling_part(account))
+        if self.s.plans[account.plan].ceiling_rate:
+            account.ceiling = min(account.ceiling, self._ceiling_most(account))
 
     def _resume(self, request: int) -> None:
         """Look again at a request that waited; those who keep requests say how."""
@@ -379,7 +381,7 @@
             rest = plan.burst / plan.rate * SECOND if plan.rate and (account.fresh or share < 1) else 0.0
             rest = max(rest, KEEP_IDLE if plan.ceiling_rate else 0.0)
             full = account.room >= plan.burst * share and self.now - account.used >= rest
-            full = full and account.ceiling >= plan.ceiling_burst * self._ceiling_part(account)
+            full = full and account.ceiling >= self._ceiling_most(account)
             if not full:
                 self.idle_queue.append(customer)
                 continue
