--- a/benchmarks/fleet/lease_case.py
+++ b/benchmarks/fleet/lease_case.py
@@ -321,9 +321,8 @@
         entry = state.voters[self.names.index(to)].entries.get(LEASE)
         if entry is None or isinstance(message, Release):
             return False
-        if isinstance(message, Propose) and not message.fresh:  # a promise does not stand against a renewal
-            return message.ballot[1:] == entry.ballot[1:] and message.ballot < entry.ballot
-        return message.ballot < entry.promised
+        # A promise does not stand against a renewal.
+        return (isinstance(message, Prepare) or message.fresh) and message.ballot < entry.promised
 
     def holders(self, state: State) -> list[str]:
         """Who acts right now."""
