Read once more: one way to the whole list, calls' methods named once, unused figures gone

Asking.answered asked for the whole list in two places; operators.py made its table of methods anew inside a condition for each call; benchmarks/fleet/lists.py kept three figures that nothing reads.

--- a/benchmarks/fleet/lists.py
+++ b/benchmarks/fleet/lists.py
@@ -159,10 +159,7 @@
     calls: int
     busiest: float  # of calls in a second, over what the service could do in it
     refused: int
-    work: float
     idle: float  # share of the worker that watches without news take at the end
-    times: tuple[float, ...]  # when each became current
-    came: tuple[float, ...]  # when each call came
 
 
 def play(start: Start) -> Result:
@@ -205,7 +202,6 @@
         nonlocal before
         before = service.desk.counts.copy()
         service.desk.came.clear()
-        service.desk.worked = 0.0
         for name in names if not start.alone else names[lone:]:
             if (machine := fleet.nodes[name].machine) is not None:
                 machine.current_at = None
@@ -219,7 +215,7 @@
     until = times[-1] if times else start.length
     came = [at - event for at in service.desk.came]
     calls = [at for at in came if at <= until]
-    desk, counts = service.desk, service.desk.counts - before
+    counts = service.desk.counts - before
     cheapest = start.costs.changes if start.stale and start.costs.keeps_changes else start.costs.whole
     seconds = [sum(at <= c < at + 1 for c in calls) for at in calls]
     late = [at for at in came if at > start.length - 60]
@@ -230,8 +226,8 @@
 
     return Result(
         len(gateways), len(times), at(0.5), at(0.9), until, busy[-1] if busy else 0.0,
-        len(gateways) * cheapest, len(calls), max(seconds, default=0) * cheapest, counts[Said.REFUSED], desk.worked,
-        len(late) / 60 * start.costs.changes, tuple(times), tuple(came),
+        len(gateways) * cheapest, len(calls), max(seconds, default=0) * cheapest, counts[Said.REFUSED],
+        len(late) / 60 * start.costs.changes,
     )  # fmt: skip
 
 
--- a/saffrongw/gateway/asking.py
+++ b/saffrongw/gateway/asking.py
@@ -159,15 +159,11 @@
                 self.pace = max(1.0, self.pace / 2)
         self.failures = self.refusals = 0
         whole = self.out is None or self.out.version is None
-        if whole and self.confirm_at is not None:
+        if whole:
             self.confirm_at = None
-        if not whole and version < (self.version or 0):  # a registry that counts anew
-            self.version = None
-        else:
-            self.version = version
-            if self.confirm_at is not None and now >= self.confirm_at:
-                return self._ask(now, Call(None, 0.0, self._patience()))
-        if self.version is None:
+        anew = not whole and version < (self.version or 0)  # a registry that counts from the beginning
+        self.version = None if anew else version
+        if anew or (self.confirm_at is not None and now >= self.confirm_at):
             return self._ask(now, Call(None, 0.0, self._patience()))
         return self._ask(now, Call(version, self.wait, self.wait + self._patience()))
 
--- a/saffrongw/gateway/operators.py
+++ b/saffrongw/gateway/operators.py
@@ -25,6 +25,14 @@
 READ_WITHIN = 1.0  # seconds for its caller to read the answer
 HEAD_MOST, BODY_MOST = 4_096, 256  # bytes of a call
 MORE_MOST = 1_024  # bytes of one to what is plugged in
+METHODS = {
+    b"/admin/health": b"GET",
+    b"/admin/stats": b"GET",
+    b"/admin/cordon": b"POST",
+    b"/admin/uncordon": b"POST",
+    b"/admin/quiesce": b"POST",
+    b"/admin/resume": b"POST",
+}
 _ID = re.compile(rb"[!-~]{1,128}")
 
 
@@ -179,18 +187,7 @@
         """Status and text for one call."""
         path = target.partition(b"?")[0]
         plugged = self.operated.calls.get(path)
-        wanted = (
-            plugged[0]
-            if plugged
-            else {
-                b"/admin/health": b"GET",
-                b"/admin/stats": b"GET",
-                b"/admin/cordon": b"POST",
-                b"/admin/uncordon": b"POST",
-                b"/admin/quiesce": b"POST",
-                b"/admin/resume": b"POST",
-            }.get(path)
-        )
+        wanted = plugged[0] if plugged else METHODS.get(path)
         if wanted is None:
             return 404, b"no such call\n"
         if method != wanted and (wanted, method) != (b"GET", b"HEAD"):
