--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,7 +9,7 @@
 from review.standins.clients import ask
 from review.standins.deployment import LOCAL, Record
 from review.standins.fleet import RACK, Fleet, has_trouble, run
-from review.standins.hosts import Command, value_reply
+from review.standins.hosts import Command, Host, value_reply
 
 HOSTS = 9
 REQUESTS = 27
@@ -38,7 +38,7 @@
         self.record = record
         self.work_s = QUICK_S
         self.fleet = Fleet(folder, record, HOSTS, self.work)
-        self.rack = self.fleet.hosts[:RACK]
+        self.rack: list[Host] = []
         # When the operators' call about each host was answered with yes.
         self.banned_s: dict[str, float] = {}
 
@@ -62,12 +62,24 @@
             f"client: request {outcome.request} ended: {outcome.kind} after {outcome.took_s:.2f} s"
         )
 
+    def busiest_rack(self) -> list[Host]:
+        """Return the rack whose hosts have most in hand, the busiest host first."""
+
+        def in_hand(host: Host) -> int:
+            return sum(not command.has_run for command in host.commands)
+
+        hosts = self.fleet.hosts
+        racks = [hosts[start : start + RACK] for start in range(0, HOSTS, RACK)]
+        rack = max(racks, key=lambda rack: sum(map(in_hand, rack)))
+        return sorted(rack, key=in_hand, reverse=True)
+
     async def maintain(self) -> None:
         """Take a rack out, and restart its hosts, as operators do."""
         gateway = self.fleet.gateways[0]
         if has_trouble():
             await self.fleet.upgrade(gateway)
             await asyncio.sleep(CORDON_AFTER_S)
+        self.rack = self.busiest_rack()
         for host in self.rack:
             status = await gateway.call("POST", "cordon", host.name)
             said_s = self.record.add(f"operators: cordon {host.name}: {status}")
@@ -103,7 +115,7 @@
 
     def judge(self) -> int:
         """Look for requests that came to a host too late after the yes."""
-        if len(self.banned_s) < len(self.rack):
+        if len(self.banned_s) < RACK:
             return 2
         late = [
             command
