--- a/review/3/case.py
+++ b/review/3/case.py
@@ -6,7 +6,7 @@
 import time
 from pathlib import Path
 
-from review.standins.clients import ask
+from review.standins.clients import ask, new_id
 from review.standins.deployment import LOCAL, Record
 from review.standins.fleet import RACK, Fleet, has_trouble, run
 from review.standins.hosts import Command, Host, value_reply
@@ -57,7 +57,9 @@
 
     async def ask(self, address: tuple[str, int], customer: int) -> None:
         """Send one request, and record how it ends."""
-        outcome = await ask(address, "test-upload", WAIT_MS, customer)
+        request = new_id()
+        self.record.add(f"client: request {request} sent")
+        outcome = await ask(address, "test-upload", WAIT_MS, customer, request)
         self.record.add(
             f"client: request {outcome.request} ended: {outcome.kind} after {outcome.took_s:.2f} s"
         )
--- a/review/standins/hosts.py
+++ b/review/standins/hosts.py
@@ -164,4 +164,5 @@
         self.record.add(f"{self.name}: request {command.request} has come")
         reply = await self.work(command)
         command.has_run = True
+        self.record.add(f"{self.name}: request {command.request} is answered")
         return reply
