Hot restart: operators' calls to the new process hold for the old one too

Cause: AdminHandlers had one slot for the other process. PredecessorHandOver.listen, which runs once the new process serves, replaced the channel to the old process by that to its own successor. Shown by hosts_down of both processes: 1 s after a call to the new one the old one still had 1, the new one 2; calls before SIGTERM and calls to the old one reached both. For the same cause a process that was told by one neighbour told the other nothing (two upgrades in a row).

Change: AdminRelay sends a call on in every direction from which it did not come; the module that owns a channel connects its direction. The messages are the same, so that an old process of the version before understands them.

--- a/saffrongw/gateway/admin_http/handlers.py
+++ b/saffrongw/gateway/admin_http/handlers.py
@@ -10,6 +10,7 @@
 from ..downstream.listener import ClientConnections
 from ..driver import Driver
 from ..extensions import AdminCommand, MetricLines
+from ..hot_restart.admin_relay import AdminRelay
 from ..hot_restart.messages import (
     MalformedMessageError,
     Message,
@@ -32,7 +33,8 @@
 class AdminHandlers:
     """Carries out operators' calls (``server.AdminOperations``) and those of a hot restart.
 
-    The attributes below ``is_serving`` are set by ``bootstrap`` and ``hot_restart`` before use.
+    The attributes from ``extension_metrics`` to ``draining_listeners`` are set by ``bootstrap``
+    before use.
     """
 
     def __init__(self, driver: Driver, clients: ClientConnections, config: Config) -> None:
@@ -45,8 +47,8 @@
         # Calls of extensions, by path.
         self.extension_commands: Mapping[bytes, AdminCommand] = {}
         self.draining_listeners: tuple[Callable[[bool], None], ...] = ()
-        # Sends a message to the other process of a hot restart; does nothing if there is none.
-        self.notify_peer_process: Callable[..., object] = _notify_nobody
+        # Exchanges calls with the other processes of a hot restart.
+        self.relay = AdminRelay(self.apply_from_peer_process)
 
     def is_healthy(self) -> bool:
         """Whether this process can serve."""
@@ -84,13 +86,13 @@
         """Start draining: ``PING`` fails, and connections close once idle."""
         self.clients.shutdown.quiesce()
         self.notify_draining(True)
-        self.notify_peer_process(MessageKind.QUIESCED, True)
+        self.relay.publish(MessageKind.QUIESCED, True)
 
     def resume(self) -> None:
         """End draining: serve clients as before."""
         self.clients.shutdown.resume()
         self.notify_draining(False)
-        self.notify_peer_process(MessageKind.QUIESCED, False)
+        self.relay.publish(MessageKind.QUIESCED, False)
 
     def notify_draining(self, is_draining: bool) -> None:
         """Notify the extensions that draining has started or ended."""
@@ -98,7 +100,7 @@
             notify(is_draining)
 
     def apply_from_peer_process(self, message: Message) -> None:
-        """Apply an operator's call that the other process of a hot restart received.
+        """Apply an operator's call that another process of a hot restart received.
 
         Raises ``MalformedMessageError`` for a message of unknown kind.
         """
@@ -125,8 +127,4 @@
 
     def _notify_exclusion(self, endpoint_id: EndpointId, excluded: bool) -> None:
         text = state_transfer.endpoint_id_to_text(endpoint_id)
-        self.notify_peer_process(MessageKind.EXCLUSION, text, excluded)
-
-
-def _notify_nobody(*_message: object) -> None:
-    """Discard a message, as there is no other process."""
+        self.relay.publish(MessageKind.EXCLUSION, text, excluded)
--- a/saffrongw/gateway/hot_restart/predecessor.py
+++ b/saffrongw/gateway/hot_restart/predecessor.py
@@ -38,14 +38,14 @@
         self.successor_listener: SuccessorListener | None = None
         if path := socket_path(parts.clients.config.listen):
             self.successor_listener = SuccessorListener(
-                parts.driver.loop, path, self._greet, parts.admin.apply_from_peer_process
+                parts.driver.loop, path, self._greet, parts.admin.relay.receive_from_successor
             )
 
     def listen(self) -> None:
         """Let a successor connect from now on."""
         if self.successor_listener:
             self.successor_listener.listen()
-            self.parts.admin.notify_peer_process = self._notify
+            self.parts.admin.relay.send_to_successor = self._send_to_successor
 
     def close(self) -> None:
         """Let no successor connect any more, and disconnect the current one."""
@@ -63,7 +63,7 @@
         else:
             await self.parts.clients.shutdown.drain(self.accept_period_s)
 
-    def _notify(self, *message: object) -> None:
+    def _send_to_successor(self, *message: object) -> None:
         if self.successor_listener and self.successor_listener.channel:
             self.successor_listener.channel.send(*message)
 
--- a/saffrongw/gateway/hot_restart/successor.py
+++ b/saffrongw/gateway/hot_restart/successor.py
@@ -115,8 +115,8 @@
         rows, self.pending_state_rows = self.pending_state_rows, []
         self._adopt_state(parts, rows)
         for message in self.pending_admin_messages:
-            parts.admin.apply_from_peer_process(message)
-        parts.admin.notify_peer_process = self.channel.send
+            parts.admin.relay.receive_from_predecessor(message)
+        parts.admin.relay.send_to_predecessor = self.channel.send
         self.channel.send(MessageKind.READY)
 
     async def wait_for_take_over(self, stop: asyncio.Event) -> None:
@@ -142,7 +142,7 @@
         if receive:
             receive(message, sockets)
         elif self.parts:
-            self.parts.admin.apply_from_peer_process(message)
+            self.parts.admin.relay.receive_from_predecessor(message)
         else:
             self.pending_admin_messages.append(message)
 
--- a/tests/faults/hot_restart_rig.py
+++ b/tests/faults/hot_restart_rig.py
@@ -121,15 +121,19 @@
 
 
 class SharedSite:
-    """A gateway address with its endpoint, and the folder shared by all processes that serve the address."""
+    """A gateway address with its endpoints, and the folder shared by all processes that serve the address."""
 
-    def __init__(self, folder: Path, host: FakeHost, **changes: object) -> None:
-        """``changes`` override settings."""
+    def __init__(self, folder: Path, *endpoints: FakeHost, **changes: object) -> None:
+        """``changes`` override settings; a single endpoint is listed under six names."""
         self.folder = folder
-        self.host = host
-        known = {"seq": 1, "whole": True, "hosts": [host.line(host=name) for name in "abcdef"]}
+        if len(endpoints) == 1:
+            lines = [endpoints[0].line(host=name) for name in "abcdef"]
+        else:
+            lines = [endpoint.line() for endpoint in endpoints]
+        known = {"seq": 1, "whole": True, "hosts": lines}
         settings = SITE | changes
-        settings["permissions"] = SITE["permissions"] | {"peers": False}
+        permissions = changes.get("permissions", {})
+        settings["permissions"] = SITE["permissions"] | {"peers": False} | permissions
         self.file, self.port = configured(folder, known=known, settings=settings)
 
     async def gateway(self) -> GatewayProcess:
@@ -167,6 +171,10 @@
         """The kinds of the received messages up to ``last_kind``; received descriptors are closed."""
         return receive_kinds(self.sock, last_kind)
 
+    def receive(self) -> list[object]:
+        """The next message, which carries no descriptors."""
+        return json.loads(self.sock.recv(65536))
+
 
 def receive_kinds(sock: socket.socket, last_kind: str) -> list[str]:
     """The kinds of the received messages up to ``last_kind``; received descriptors are closed."""
--- a/tests/faults/hot_restart_variants.py
+++ b/tests/faults/hot_restart_variants.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterator
 
 from saffrongw.__main__ import main
+from saffrongw.gateway.hot_restart.admin_relay import AdminRelay
 from saffrongw.gateway.hot_restart.predecessor import PredecessorHandOver
 from saffrongw.gateway.hot_restart.successor import SuccessorHandOver
 from saffrongw.policy import state_transfer
@@ -51,6 +52,22 @@
     SuccessorHandOver.must_serve = property(lambda self: self.take_over.is_set())
 
 
+@variant
+def keeps_calls_from_the_old_process() -> None:
+    """Send operators' calls to this process's successor only."""
+    AdminRelay.send_to_predecessor = property(lambda _: lambda *_message: None, lambda *_: None)
+
+
+@variant
+def relays_no_calls() -> None:
+    """Apply a call that another process sent, without sending it on."""
+
+    def apply_only(self: AdminRelay, message: list) -> None:
+        self.apply(message)
+
+    AdminRelay.receive_from_predecessor = AdminRelay.receive_from_successor = apply_only
+
+
 if __name__ == "__main__":
     VARIANTS[sys.argv[1]]()
     sys.exit(main())
--- a/tests/faults/test_planted_hot_restart_faults.py
+++ b/tests/faults/test_planted_hot_restart_faults.py
@@ -10,6 +10,7 @@
 import pytest
 
 from tests.faults import test_hot_restart as hot_restart
+from tests.faults import test_hot_restart_admin_calls as admin_calls
 from tests.faults.hot_restart_rig import GatewayProcess
 from tests.faults.hot_restart_variants import VARIANTS
 
@@ -27,6 +28,14 @@
         hot_restart.test_a_replaced_successor_ends_without_serving,
         TimeoutError,
     ),
+    "keeps-calls-from-the-old-process": (
+        admin_calls.test_the_old_process_retries_at_no_endpoint_excluded_at_its_successor,
+        AssertionError,
+    ),
+    "relays-no-calls": (
+        admin_calls.test_calls_pass_the_serving_process_in_both_directions_of_two_hot_restarts_in_a_row,
+        TimeoutError,
+    ),
 }
 
 
