Draining called at one process of a hot restart is told to the other's extensions

A process that applied its neighbour's quiesce or resume failed PING and closed connections, but did not notify its extensions: with [leases] the new process of a quiesced gateway took leases, and a process that was not called kept those it held.

Change: a call and a neighbour's message go through one function, which notifies the extensions when the state has changed; a greeting that says "not draining" notifies nobody.

Measured: the new test failed before the change (nothing was told) and passes; tests of leases and of the hot restart pass.

--- a/saffrongw/gateway/admin_http/handlers.py
+++ b/saffrongw/gateway/admin_http/handlers.py
@@ -84,14 +84,12 @@
 
     def quiesce(self) -> None:
         """Start draining: ``PING`` fails, and connections close once idle."""
-        self.clients.shutdown.quiesce()
-        self.notify_draining(True)
+        self._set_draining(True)
         self.relay.publish(MessageKind.QUIESCED, True)
 
     def resume(self) -> None:
         """End draining: serve clients as before."""
-        self.clients.shutdown.resume()
-        self.notify_draining(False)
+        self._set_draining(False)
         self.relay.publish(MessageKind.QUIESCED, False)
 
     def notify_draining(self, is_draining: bool) -> None:
@@ -109,13 +107,20 @@
             exclusion = decode_exclusion(message)
             self._set_excluded(exclusion.endpoint_id, exclusion.excluded)
         elif kind == MessageKind.QUIESCED:
-            if decode_quiesced(message):
-                self.clients.shutdown.quiesce()
-            else:
-                self.clients.shutdown.resume()
+            self._set_draining(decode_quiesced(message))
         else:
             raise MalformedMessageError(f"unknown message: {kind!r}")
 
+    def _set_draining(self, is_draining: bool) -> None:
+        shutdown = self.clients.shutdown
+        was_draining = shutdown.is_draining
+        if is_draining:
+            shutdown.quiesce()
+        else:
+            shutdown.resume()
+        if shutdown.is_draining is not was_draining:
+            self.notify_draining(shutdown.is_draining)
+
     def _require_known(self, endpoint_id: EndpointId) -> None:
         gateway = self.driver.gateway
         is_excluded_here = EXCLUSION_SOURCE in gateway.exclusions.sources.get(endpoint_id, ())
--- a/tests/gateway/test_admin_http.py
+++ b/tests/gateway/test_admin_http.py
@@ -188,6 +188,23 @@
     assert not again.closed
 
 
+@asyncio_test
+async def test_extensions_are_told_of_draining_that_another_process_was_called_to_start_or_end():
+    """A gateway quiesced during a hot restart kept its leases in the process that was not called."""
+    rig = Rig(await FakeEndpoint("a").listen())
+    admin = AdminRig(rig)
+    told: list[bool] = []
+    admin.handlers.draining_listeners = (told.append,)
+    # A predecessor that does not drain says so to each new successor.
+    admin.handlers.relay.receive_from_predecessor(["quiesced", False])
+    assert told == []
+    admin.handlers.relay.receive_from_predecessor(["quiesced", True])
+    assert told == [True]
+    admin.handlers.relay.receive_from_successor(["quiesced", False])
+    assert told == [True, False]
+    assert not rig.clients.shutdown.is_draining
+
+
 @asyncio_test
 async def test_stats_count_answers_by_class_attempts_and_requests_in_flight():
     endpoint = await FakeEndpoint("a").listen()
