Resume does not undo the draining of a process that is about to end

GracefulShutdown.resume stopped the draining that SIGTERM had started: PING answered PONG again, connections stayed open until the process ended, and extensions were notified, so that leases were acquired by a process with a second left.

Change: resume has no effect on this process after SIGTERM; it is still passed on.

Measured: the new test failed before the change (extensions were told that draining had ended) and passes.

--- a/saffrongw/gateway/downstream/graceful_shutdown.py
+++ b/saffrongw/gateway/downstream/graceful_shutdown.py
@@ -49,8 +49,8 @@
         self._settle_all()
 
     def resume(self) -> None:
-        """Stop draining."""
-        self.is_draining = False
+        """Stop draining, unless the process is about to end."""
+        self.is_draining = self.is_draining and self.started_at_s is not None
 
     async def drain(self, accept_for_s: float) -> None:
         """Drain: accept connections for ``accept_for_s`` more, then finish requests in flight."""
--- a/tests/gateway/test_admin_http.py
+++ b/tests/gateway/test_admin_http.py
@@ -205,6 +205,29 @@
     assert not rig.clients.shutdown.is_draining
 
 
+@asyncio_test
+async def test_resume_does_not_undo_the_draining_of_a_process_that_is_ending():
+    """Clients stayed connected to a process until it ended, and its leases were acquired again."""
+    endpoint = await FakeEndpoint("a").listen()
+    endpoint.script = lambda command: None
+    rig = Rig(endpoint)
+    admin = AdminRig(rig)
+    told: list[bool] = []
+    admin.handlers.draining_listeners = (told.append,)
+    busy = await rig.caller()
+    busy.call()
+    await until(lambda: endpoint.commands)
+    drained = rig.loop.create_task(rig.clients.shutdown.drain(0.0))
+    await until(lambda: rig.clients.shutdown.is_draining)
+    assert (await admin("POST", "resume"))[0] == 200
+    assert told == []
+    busy.ask(b"PING")
+    endpoint.connections[0].transport.write(value(b"x"))
+    replies = await busy.replied(2)
+    assert (replies[0], error(replies[1])) == (b"x", "ERR draining")
+    await drained
+
+
 @asyncio_test
 async def test_stats_count_answers_by_class_attempts_and_requests_in_flight():
     endpoint = await FakeEndpoint("a").listen()
