A host readmitted while state is handed over is not excluded again

The old process sends its exclusions with its state at SIGTERM. A row on its way as operators called uncordon at the new process was applied after that call: the new process excluded the host for good, while the old one used it again.

Change: a row whose exclusion began before this process was told to readmit the endpoint is skipped; both processes read one clock.

Measured: the new test failed before the change (the endpoint was excluded) and passes.

--- a/saffrongw/policy/state_transfer.py
+++ b/saffrongw/policy/state_transfer.py
@@ -182,14 +182,13 @@
     _adopt_score(zone_scores.setdefault(int(zone), HealthScore(0)), *values)
 
 
-def _adopt_exclusion(
-    gateway: Gateway, now_us: int, endpoint_id: str, sources: dict[str, int]
-) -> None:
+def _adopt_exclusion(gateway: Gateway, now_us: int, text: str, sources: dict[str, int]) -> None:
+    """Exclude an endpoint, unless this process was told to readmit it since that row was made."""
+    endpoint_id = endpoint_id_from_text(text)
+    restored = gateway.exclusions.restored.get(endpoint_id)
     for source, since_us in sources.items():
-        event = ExclusionChanged(
-            endpoint_id_from_text(endpoint_id), str(source), True, int(since_us)
-        )
-        gateway.handle(now_us, event)
+        if restored is None or int(since_us) > restored.restored_at_us:
+            gateway.handle(now_us, ExclusionChanged(endpoint_id, str(source), True, int(since_us)))
 
 
 def _adopt_restored(
--- a/tests/policy/test_state_transfer.py
+++ b/tests/policy/test_state_transfer.py
@@ -92,6 +92,27 @@
     assert entry(0).endpoint_id not in {send.endpoint_id for found in sends for send in found}
 
 
+def test_an_endpoint_readmitted_at_the_successor_during_the_export_is_not_excluded_again(harness):
+    """Rows sent before the old process heard of the call excluded the endpoint for good."""
+    endpoint_id = entry(0).endpoint_id
+    harness.handle(ExclusionChanged(endpoint_id, "operator", True))
+    new = successor_of(harness)
+    rows = list(state_transfer.exclusions(harness.gateway))
+    new.run(SECOND)
+    new.handle(ExclusionChanged(endpoint_id, "operator", False))
+    for row in rows:
+        state_transfer.adopt(new.gateway, new.now, row)
+    assert new.gateway.exclusions.sources == {}
+    # An exclusion after that is adopted.
+    harness.now = new.now
+    harness.handle(ExclusionChanged(endpoint_id, "operator", False))
+    harness.run(SECOND)
+    harness.handle(ExclusionChanged(endpoint_id, "operator", True))
+    for row in state_transfer.exclusions(harness.gateway):
+        state_transfer.adopt(new.gateway, new.now, row)
+    assert new.gateway.exclusions.sources == {endpoint_id: {"operator": harness.now}}
+
+
 def test_scores_of_endpoints_are_transferred(harness):
     harness.send_request(1)
     (send,) = of_type(harness.log, SendAttempt)
