A connection to a host is read again once its long value has arrived

Cause: a client that does not read pauses the connection to the host. Where the last bytes of the value caused the pause, StreamingReply.set_paused, which does nothing for a complete value, never resumed it, and the connection was released to its pool unread. A value that waits behind an earlier reply and reaches its limit with its last bytes had the same.

Change: reading is resumed as the value is complete, and the pool takes back, or hands over, only a connection that is_reusable: read, with nothing left of an attempt, a reply or a value.

--- a/saffrongw/gateway/upstream/connection.py
+++ b/saffrongw/gateway/upstream/connection.py
@@ -123,12 +123,11 @@
             self._await_remainder()
             return
         self._stop_remainder_timer()
-        if len(self.reader) or not attempt.is_fully_sent:
-            # There is data after the reply, or the reply came before the request was fully sent.
-            self.abort()
-        else:
+        if attempt.is_fully_sent:
             self.attempt = None
             self.pool.release(self)
+        else:
+            self.abort()
         self.cluster.driver.attempt_ended(attempt, *decoded)
 
     def _await_remainder(self) -> None:
@@ -182,6 +181,8 @@
                 raise MalformedMessageError("a length does not fit")
             if not value.is_complete:
                 value.finish()
+                # What follows is not for the client, so its backpressure ends here.
+                self.set_paused(False)
             if not self.reader.take_streamed_tail():
                 if self.remainder_timer is None:
                     self.remainder_timer = self.cluster.loop.call_later(
@@ -193,11 +194,8 @@
             self.abort()
             return
         self._stop_remainder_timer()
-        if len(self.reader) or self.transport.is_closing():
-            self.abort()
-        else:
-            self.streaming = None
-            self.pool.release(self)
+        self.streaming = None
+        self.pool.release(self)
 
     def set_paused(self, paused: bool) -> None:
         """Pause reading a streamed value while its client is slow, or resume it."""
@@ -215,6 +213,12 @@
 
     # -- closing ----------------------------------------------------------------------------------
 
+    @property
+    def is_reusable(self) -> bool:
+        """Whether the connection is read, and nothing is left of an attempt, a reply or a value."""
+        is_busy = self.attempt or self.streaming or self.remainder_timer or len(self.reader)
+        return not is_busy and not self.is_paused and not self.transport.is_closing()
+
     def is_quiet(self) -> bool:
         """Whether the socket has nothing unread: neither data nor the end of the connection."""
         return not self.poll.poll(0)
--- a/saffrongw/gateway/upstream/pool.py
+++ b/saffrongw/gateway/upstream/pool.py
@@ -138,7 +138,8 @@
     def release(self, connection: UpstreamConnection) -> None:
         """Keep a connection whose attempt has ended for reuse, or hand it over, or close it."""
         if (
-            self.is_draining
+            not connection.is_reusable
+            or self.is_draining
             or self.is_removed
             or (self.cluster.give_to_successor and self._hand_over(connection))
         ):
--- a/tests/gateway/test_streaming_reply.py
+++ b/tests/gateway/test_streaming_reply.py
@@ -6,6 +6,7 @@
 import hashlib
 import socket
 
+import hiredis
 import pytest
 from async_testing import asyncio_test, until
 from client_rig import Caller, error
@@ -25,6 +26,40 @@
 LONG = hashlib.shake_128(b"long").digest(300_000)
 
 
+class SmallBufferClient:
+    """A client for which the kernel buffers only a few kilobytes on either side."""
+
+    def __init__(self, rig: Rig, sock: socket.socket) -> None:
+        self.rig, self.sock = rig, sock
+
+    @classmethod
+    async def connect(cls, rig: Rig) -> SmallBufferClient:
+        """Connect to the gateway, and limit the kernel's buffers of all its clients."""
+        count = len(rig.clients.connections)
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.connect(rig.clients.acceptor.listener.getsockname())
+        sock.setblocking(False)
+        await until(lambda: len(rig.clients.connections) == count + 1)
+        for client in rig.clients.connections:
+            client.transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, 4096
+            )
+        return cls(rig, sock)
+
+    def call(self, number: bytes) -> None:
+        """Send a request that may be repeated."""
+        terms = b"c=read,t=team,d=20000,units=1,spread=2,first=0"
+        self.sock.send(hiredis.pack_command((b"CALL.GET", b"0000000000000007", number, terms)))
+
+    async def receive(self, length: int) -> bytes:
+        """Return at least as many bytes."""
+        received = bytearray()
+        while len(received) < length:
+            received += await self.rig.loop.sock_recv(self.sock, 65536)
+        return bytes(received)
+
+
 async def client_of(
     script, *numbers: bytes, endpoint_count=1
 ) -> tuple[Rig, list[FakeEndpoint], Caller]:
@@ -89,20 +124,8 @@
     long = bytes(MAX_STREAMED_VALUE_BYTES)
     script = {b"slow": value(long), b"other": value(b"ok")}
     rig, (_endpoint,), other = await client_of(lambda command: script[command[2]])
-    port = rig.clients.acceptor.listener.getsockname()[1]
-    slow = socket.socket()
-    slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-    slow.connect(("127.0.0.1", port))
-    await until(lambda: len(rig.clients.connections) == 2)
-    for client in rig.clients.connections:  # otherwise the kernel could buffer the whole value
-        client.transport.get_extra_info("socket").setsockopt(
-            socket.SOL_SOCKET, socket.SO_SNDBUF, 4096
-        )
-    terms = b"c=read,t=team,d=20000,units=1,spread=2,first=0"
-    slow.sendall(
-        b"*4\r\n$8\r\nCALL.GET\r\n$16\r\n0000000000000007\r\n$4\r\nslow\r\n$%d\r\n%b\r\n"
-        % (len(terms), terms)
-    )
+    slow = await SmallBufferClient.connect(rig)
+    slow.call(b"slow")
     await until(lambda: any(c.streaming for c in rig.clients.connections))
     (value_,) = [c.streaming for c in rig.clients.connections if c.streaming]
     await until(lambda: value_.source.is_paused)
@@ -110,12 +133,74 @@
     other.call(number=b"other")
     assert await other.replied() == [b"ok"]
     assert value_.bytes_left == left > MAX_STREAMED_VALUE_BYTES // 4  # the rest is not even read
-    got = bytearray()
-    slow.setblocking(False)
-    while len(got) < MAX_STREAMED_VALUE_BYTES + len(b"$4194304\r\n\r\n"):
-        got += await rig.loop.sock_recv(slow, 65536)
-    assert bytes(got) == b"$4194304\r\n" + long + b"\r\n"
-    slow.close()
+    expected = b"$4194304\r\n" + long + b"\r\n"
+    assert await slow.receive(len(expected)) == expected
+    slow.sock.close()
+
+
+async def assert_all_connections_answer(rig: Rig, endpoint: FakeEndpoint, caller: Caller) -> None:
+    """Assert that short requests are answered on all idle connections to the endpoint."""
+    await until(lambda: not rig.driver.requests)
+    await asyncio.sleep(2 * REUSE_DELAY_S)
+    idle = len(endpoint.connections)
+    count, sent_before = len(caller.replies), len(endpoint.commands)
+    # Sent in one turn, so that each takes a connection of its own.
+    for number in range(idle):
+        caller.call(number=b"short%d" % number, wait=20_000)
+    await until(lambda: len(endpoint.commands) == sent_before + idle)
+    assert len(endpoint.connections) == idle
+    for connection in list(endpoint.connections):
+        connection.transport.write(value(b"short"))
+    assert (await caller.replied(count + idle))[count:] == [b"short"] * idle
+
+
+@asyncio_test
+async def test_connection_is_read_again_after_a_value_that_waited_behind_an_earlier_reply():
+    """The next request on the connection was never answered: it went back to its pool unread."""
+    rig, (endpoint,), caller = await client_of(lambda command: None, b"first", b"long")
+    await until(lambda: len(endpoint.commands) == 2)
+    first, long = endpoint.connections
+    if endpoint.commands[0][2] != b"first":
+        first, long = long, first
+    answer = value(LONG[:70_000])
+    long.transport.write(answer[:60_000])
+    await until(
+        lambda: any(
+            slot.reply and slot.reply.bytes_left < 11_000
+            for client in rig.clients.connections
+            for slot in client.slots
+        )
+    )
+    # With these bytes the limit is reached and the value is complete.
+    long.transport.write(answer[60_000:])
+    first.transport.write(value(b"1"))
+    assert await caller.replied(2) == [b"1", LONG[:70_000]]
+    await assert_all_connections_answer(rig, endpoint, caller)
+
+
+@asyncio_test
+async def test_connection_is_read_again_after_a_client_that_did_not_read_the_end_of_its_value():
+    """The next request on the connection was never answered: it went back to its pool unread."""
+    rig, (endpoint,), other = await client_of(lambda command: None)
+    late = await SmallBufferClient.connect(rig)
+    late.call(b"long")
+    await until(lambda: endpoint.commands)
+    (client,) = [each for each in rig.clients.connections if each.slots]
+    # One unwritten byte is enough to pause reading from the endpoint.
+    client.transport.set_write_buffer_limits(high=0)
+    answer = value(LONG)
+    (upstream,) = endpoint.connections
+    upstream.transport.write(answer[:-40_000])
+    received = await late.receive(len(LONG) - 40_000)
+    await until(lambda: not client.transport.get_write_buffer_size())
+    # The client does not read these bytes, the end of the value among them.
+    upstream.transport.write(answer[-40_000:])
+    await until(lambda: client.streaming is None)
+    assert client.transport.get_write_buffer_size()
+    await assert_all_connections_answer(rig, endpoint, other)
+    received += await late.receive(len(b"$300000\r\n" + LONG + b"\r\n") - len(received))
+    assert received == b"$300000\r\n" + LONG + b"\r\n"
+    late.sock.close()
 
 
 @asyncio_test
