A planned restart waits for long values whose clients read on

Cause: the last part of a value lies in the connection's write buffer when its reply slot is gone, and nobody counted it. The same on quiesce, after an error line, in an upgrade, and for eviction.

Change: ClientConnection.is_unfinished counts unwritten bytes. A connection whose last reply was just written is still handed over.

--- a/saffrongw/gateway/downstream/connection.py
+++ b/saffrongw/gateway/downstream/connection.py
@@ -273,6 +273,16 @@
 
     # -- closing ----------------------------------------------------------------------------------
 
+    @property
+    def unwritten_bytes(self) -> int:
+        """How much of the replies waits for the client to read."""
+        return self.transport.get_write_buffer_size()
+
+    @property
+    def is_unfinished(self) -> bool:
+        """Whether a reply is pending or not written completely."""
+        return bool(self.slots) or self.unwritten_bytes > 0
+
     def settle(self) -> None:
         """Hand the connection over, or close it, if that is due; classify it for the reaper."""
         if self.transport.is_closing():
@@ -310,7 +320,7 @@
     def _hand_over(self) -> bool:
         """Give the connection, and unprocessed data, to the successor; return whether it worked."""
         # The state of a TLS connection can't leave this process.
-        if self.transport.get_write_buffer_size() or self._is_tls():
+        if self.unwritten_bytes or self._is_tls():
             return False
         give = self.shutdown.give_to_successor
         unprocessed = self.reader.data[self.reader.position :]
--- a/saffrongw/gateway/downstream/graceful_shutdown.py
+++ b/saffrongw/gateway/downstream/graceful_shutdown.py
@@ -42,6 +42,8 @@
         # New requests are rejected: the process would be killed before they are finished.
         self.rejects_requests = False
         self.started_at_s: float | None = None
+        # Replies that are not written by then are given up.
+        self.ends_at_s = float("inf")
 
     def quiesce(self) -> None:
         """Start draining: connections close once idle; requests that arrive are still served."""
@@ -63,21 +65,25 @@
     async def finish(self) -> None:
         """Wait until all replies are written and no connection is opening.
 
-        Connections without a request are waited for no longer than ``UNFINISHED_COMMAND_GRACE_S``.
+        Connections without a request are waited for no longer than ``UNFINISHED_COMMAND_GRACE_S``,
+        clients that read their replies slowly no longer than until the process may be killed.
         """
         end_s = self.loop.time() + UNFINISHED_COMMAND_GRACE_S
         while self._is_unfinished(end_s):
             self._settle_all()
             await asyncio.sleep(POLL_INTERVAL_S)
+        # Connections whose last reply was written since.
+        self._settle_all()
 
     def _is_unfinished(self, end_s: float) -> bool:
-        clients = self.clients
+        clients, now_s = self.clients, self.loop.time()
         return bool(
             clients.driver.requests
             # A streaming reply may still be written after its request has ended.
             or any(connection.slots for connection in clients.connections)
             or clients.opening
-            or (clients.connections and self.loop.time() < end_s)
+            or (clients.connections and now_s < end_s)
+            or (now_s < self.ends_at_s and any(each.is_unfinished for each in clients.connections))
         )
 
     def start_countdown(self) -> float:
@@ -91,8 +97,9 @@
             classes = self.clients.config.settings.classes
             longest_deadline_s = max(each.deadline_us for each in classes) / 1e6
             killed_at_s = serve_until_s + min(MAX_KILL_DELAY_S, longest_deadline_s)
+            self.ends_at_s = killed_at_s - END_MARGIN_S
             self.loop.call_at(serve_until_s - END_MARGIN_S, self._reject_requests)
-            self.loop.call_at(killed_at_s - END_MARGIN_S, self.clients.driver.fail_all_requests)
+            self.loop.call_at(self.ends_at_s, self.clients.driver.fail_all_requests)
         return self.started_at_s
 
     def _reject_requests(self) -> None:
--- a/saffrongw/gateway/downstream/idle_reaper.py
+++ b/saffrongw/gateway/downstream/idle_reaper.py
@@ -22,8 +22,8 @@
 MIN_IDLE_S = 0.5
 CROWDED_IDLE_SHARE = 0.25
 
-# Time for a client to read its last replies before its connection is reset.
-CLOSE_TIMEOUT_S = 1.0
+# Time for a client to read some of its last replies before its connection is reset.
+CLOSE_TIMEOUT_S = 3.0
 
 SWEEP_INTERVAL_S = 0.25
 
@@ -50,6 +50,8 @@
         self.awaiting_command: dict[ClientConnection, float] = {}
         self.idle: dict[ClientConnection, float] = {}
         self.closing: dict[ClientConnection, float] = {}
+        # What the clients of the closing connections had not read at the last sweep.
+        self.unwritten_bytes: dict[ClientConnection, int] = {}
 
     def start(self) -> None:
         """Start the periodic sweep."""
@@ -114,13 +116,14 @@
         return True
 
     def _may_be_evicted(self, connection: ClientConnection) -> bool:
-        """Whether eviction loses no request that has arrived but is still unread.
+        """Whether eviction loses no request that is still unread, and no part of a reply.
 
         A connection that sent no complete command is spared for unread data only while it is new:
         otherwise a client that keeps sending an incomplete command could never be evicted.
         """
         is_spared = connection in self.idle or self.is_new(connection)
-        return not (is_spared and socket_state.has_unread_data(connection))
+        is_waiting = connection.unwritten_bytes or socket_state.has_unread_data(connection)
+        return not (is_spared and is_waiting)
 
     def _sweep(self) -> None:
         now_s = self.loop.time()
@@ -154,7 +157,16 @@
                 connection.transport.close()
 
     def _abort_unread(self, now_s: float) -> None:
-        """Reset closing connections whose clients don't read their last replies."""
+        """Reset closing connections whose clients don't read their last replies.
+
+        The timeout of the others starts anew: a long value may take a client any time to read.
+        """
+        previous = self.unwritten_bytes
+        self.unwritten_bytes = {each: each.unwritten_bytes for each in self.closing}
+        for connection, unwritten in self.unwritten_bytes.items():
+            if unwritten < previous.get(connection, 0):
+                del self.closing[connection]
+                self.closing[connection] = now_s
         for connection in _entered_by(self.closing, now_s - CLOSE_TIMEOUT_S):
             if not connection.slots:
                 connection.transport.abort()
--- a/tests/gateway/test_streaming_reply.py
+++ b/tests/gateway/test_streaming_reply.py
@@ -4,12 +4,10 @@
 
 import asyncio
 import hashlib
-import socket
 
-import hiredis
 import pytest
 from async_testing import asyncio_test, until
-from client_rig import Caller, error
+from client_rig import Caller, SmallBufferClient, error
 from fake_endpoint import FakeEndpoint, value
 from loopback_rig import Rig
 
@@ -26,40 +24,6 @@
 LONG = hashlib.shake_128(b"long").digest(300_000)
 
 
-class SmallBufferClient:
-    """A client for which the kernel buffers only a few kilobytes on either side."""
-
-    def __init__(self, rig: Rig, sock: socket.socket) -> None:
-        self.rig, self.sock = rig, sock
-
-    @classmethod
-    async def connect(cls, rig: Rig) -> SmallBufferClient:
-        """Connect to the gateway, and limit the kernel's buffers of all its clients."""
-        count = len(rig.clients.connections)
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        sock.connect(rig.clients.acceptor.listener.getsockname())
-        sock.setblocking(False)
-        await until(lambda: len(rig.clients.connections) == count + 1)
-        for client in rig.clients.connections:
-            client.transport.get_extra_info("socket").setsockopt(
-                socket.SOL_SOCKET, socket.SO_SNDBUF, 4096
-            )
-        return cls(rig, sock)
-
-    def call(self, number: bytes) -> None:
-        """Send a request that may be repeated."""
-        terms = b"c=read,t=team,d=20000,units=1,spread=2,first=0"
-        self.sock.send(hiredis.pack_command((b"CALL.GET", b"0000000000000007", number, terms)))
-
-    async def receive(self, length: int) -> bytes:
-        """Return at least as many bytes."""
-        received = bytearray()
-        while len(received) < length:
-            received += await self.rig.loop.sock_recv(self.sock, 65536)
-        return bytes(received)
-
-
 async def client_of(
     script, *numbers: bytes, endpoint_count=1
 ) -> tuple[Rig, list[FakeEndpoint], Caller]:
