--- a/benchmarks/client_disconnects.py
+++ b/benchmarks/client_disconnects.py
@@ -18,14 +18,16 @@
 import uvloop
 
 sys.path.insert(0, str(Path(__file__).parent.parent / "tests"))
-from conftest import SITE, FakeHost, Rig, until, value
+from async_testing import until
+from fake_endpoint import FakeEndpoint, value
+from loopback_rig import SITE, Rig
 
 LATE_AFTER_S = 0.3
 
 
 async def count_late_requests(clients: int, forgets: bool) -> tuple[int, int, int]:
     """Count clients that left before their request reached a host, and those requests forwarded later, and late."""
-    draw, hosts = random.Random(1), [await FakeHost(name).listen() for name in "abcd"]
+    draw, hosts = random.Random(1), [await FakeEndpoint(name).listen() for name in "abcd"]
     received_at: dict[bytes, float] = {}
     for host in hosts:
         host.script = lambda command: (
--- a/benchmarks/hot_restart_cost.py
+++ b/benchmarks/hot_restart_cost.py
@@ -21,7 +21,10 @@
 from rich.table import Table
 
 sys.path.insert(0, str(Path(__file__).parent.parent / "tests"))
-from conftest import SITE, Caller, FakeHost, configured
+from client_rig import Caller
+from fake_endpoint import FakeEndpoint
+from loopback_rig import SITE
+from program_rig import configured
 
 from testbed.runner.processes import free_port
 
@@ -129,7 +132,7 @@
     restarts: int, rate_per_s: float, duration_s: float
 ) -> tuple[RequestLoad, list[float]]:
     """Run with ``restarts`` restarts; return the load and the exit times of old processes (s)."""
-    host = await FakeHost("a").listen()
+    host = await FakeEndpoint("a").listen()
     known = {"seq": 1, "whole": True, "hosts": [host.line(host=name) for name in "abcdefgh"]}
     plan = SITE["packages"][0] | {"perSecond": 1e6, "peakUnits": 1e6}
     permissions = SITE["permissions"] | {"peers": False}
--- a/benchmarks/tls_cost.py
+++ b/benchmarks/tls_cost.py
@@ -103,7 +103,7 @@
 
     async def start(self) -> None:
         sys.path.insert(0, str(ROOT / "tests"))
-        from conftest import SITE
+        from loopback_rig import SITE
 
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(Host, "127.0.0.1", 0)
--- a/tests/admin/test_cli.py
+++ b/tests/admin/test_cli.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 import pytest
-from conftest import SITE
+from loopback_rig import SITE
 
 from saffrongw.admin import cli
 
--- a/tests/admin/test_ledger.py
+++ b/tests/admin/test_ledger.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from conftest import asyncio_test
+from async_testing import asyncio_test
 
 from saffrongw.admin import cli
 from saffrongw.ledger import writer
--- a/tests/authz/test_extension_registry.py
+++ b/tests/authz/test_extension_registry.py
@@ -11,7 +11,11 @@
 from pathlib import Path
 
 import pytest
-from conftest import SITE, Caller, FakeHost, asyncio_test, configured, error, until
+from async_testing import asyncio_test, until
+from client_rig import Caller, error
+from fake_endpoint import FakeEndpoint
+from loopback_rig import SITE
+from program_rig import configured
 
 from saffrongw.admin import cli
 from testbed.ext_authz_server.server import Authoriser, deny
@@ -124,7 +128,7 @@
 
 @asyncio_test
 async def test_a_process_checks_requests_and_changes_its_authoriser_on_sighup(tmp_path):
-    host = await FakeHost("a").listen()
+    host = await FakeEndpoint("a").listen()
     lines = [host.line(host=name) for name in "abcdef"]
     path, port = configured(tmp_path, known={"seq": 1, "whole": True, "hosts": lines})
     first, second = await Authoriser().start(), await Authoriser(lambda _: deny()).start()
--- a/tests/authz/test_request_filter.py
+++ b/tests/authz/test_request_filter.py
@@ -12,7 +12,10 @@
 
 import pytest
 import trustme
-from conftest import Caller, FakeHost, Rig, asyncio_test, error, until
+from async_testing import asyncio_test, until
+from client_rig import Caller, error
+from fake_endpoint import FakeEndpoint
+from loopback_rig import Rig
 
 from saffrongw.authz.attributes import RequestNames
 from saffrongw.authz.breaker import BreakerSettings, BreakerState
@@ -38,7 +41,7 @@
     async def open(
         self, *authorisers: Authoriser, rules=None, tls=None, share=0.6, names=NAMES, **settings
     ) -> AuthzRig:
-        self.authorisers, self.host = authorisers, await FakeHost("a").listen()
+        self.authorisers, self.host = authorisers, await FakeEndpoint("a").listen()
         settings = {
             "breaker": NEVER_OPENING,
             "time_share": 0.5,
--- a/tests/authz/test_server.py
+++ b/tests/authz/test_server.py
@@ -6,11 +6,14 @@
 
 import grpclib
 import pytest
-from conftest import SITE, FakeHost, Rig, asyncio_test, error
+from async_testing import asyncio_test
+from client_rig import error
 from envoy.service.auth.v3 import external_auth_pb2 as published
+from fake_endpoint import FakeEndpoint
 from grpclib.client import Channel, UnaryUnaryMethod
 from grpclib.const import Cardinality, Handler
 from grpclib.server import Server
+from loopback_rig import SITE, Rig
 from test_request_filter import NAMES, AuthzRig
 
 from saffrongw.authz.attributes import METHOD, ContextExtensionNames
@@ -36,7 +39,7 @@
 @contextlib.asynccontextmanager
 async def served(in_flight=100, **changes):
     """Run a gateway that answers checks; yield its rig, the server and a function to send a check."""
-    host = await FakeHost("a").listen()
+    host = await FakeEndpoint("a").listen()
     server = AuthzServer("127.0.0.1:0", NAMES, ContextExtensionNames(), 2, 1.0, in_flight)
     rig = Rig(
         host,
--- a/tests/certs/acme_rig.py
+++ b/tests/certs/acme_rig.py
@@ -8,7 +8,10 @@
 import time
 from pathlib import Path
 
-from conftest import Caller, FakeHost, Rig, until
+from async_testing import until
+from client_rig import Caller
+from fake_endpoint import FakeEndpoint
+from loopback_rig import Rig
 
 from saffrongw.certs.component import CertsComponent
 from saffrongw.certs.renewal_loop import SystemClock
@@ -53,7 +56,7 @@
         self.table, self.clock, self.seed = table, clock, seed
 
     async def start(self) -> Member:
-        self.host = await FakeHost("h1").listen()
+        self.host = await FakeEndpoint("h1").listen()
         self.rig = Rig(
             self.host, self.host.line(host="h2"), lines=[self.host.line(host=n) for n in "abcdef"]
         )
--- a/tests/certs/test_certs_table.py
+++ b/tests/certs/test_certs_table.py
@@ -11,7 +11,7 @@
 
 import pytest
 from acme_rig import NAME
-from conftest import asyncio_test, until
+from async_testing import asyncio_test, until
 from test_chain import csr
 from test_order_kills import DAY, ROOT, Site
 
--- a/tests/certs/test_http.py
+++ b/tests/certs/test_http.py
@@ -8,7 +8,7 @@
 
 import pytest
 import trustme
-from conftest import asyncio_test
+from async_testing import asyncio_test
 
 from saffrongw.certs.acme_steps import HttpRequest
 from saffrongw.certs.http import MAX_BODY_BYTES, MAX_HEAD_BYTES, AuthorityClient
--- a/tests/certs/test_order_kills.py
+++ b/tests/certs/test_order_kills.py
@@ -12,7 +12,8 @@
 
 import pytest
 from acme_rig import NAME, trusting
-from conftest import asyncio_test, configured
+from async_testing import asyncio_test
+from program_rig import configured
 from test_chain import csr
 
 from saffrongw.certs import chain
--- a/tests/certs/test_renewal_loop.py
+++ b/tests/certs/test_renewal_loop.py
@@ -8,7 +8,7 @@
 
 import pytest
 from acme_rig import DAY, NAME, FastClock, Member, table_of
-from conftest import asyncio_test, until
+from async_testing import asyncio_test, until
 from test_order_flow import MALFORMED_REPLIES
 
 from saffrongw.certs.renewal import Alarm
--- a/tests/certs/test_tls_listener.py
+++ b/tests/certs/test_tls_listener.py
@@ -12,8 +12,11 @@
 import pytest
 import trustme
 from acme_rig import secure_caller, shown_at, trusting
-from conftest import Caller, FakeHost, Rig, asyncio_test, until
+from async_testing import asyncio_test, until
+from client_rig import Caller
 from cryptography import x509
+from fake_endpoint import FakeEndpoint
+from loopback_rig import Rig
 from test_chain import csr
 from test_client_hello import client_hello_bytes
 
@@ -61,7 +64,7 @@
         return leaf.serial_number
 
     async def open(self, **changes) -> TlsGateway:
-        self.host = await FakeHost("a").listen()
+        self.host = await FakeEndpoint("a").listen()
         self.rig = Rig(self.host, lines=[self.host.line(host=n) for n in "abcdef"], **changes)
         await self.rig.clients.listen()
         self.listener.prepare()
--- a/tests/channel/test_channel_socket.py
+++ b/tests/channel/test_channel_socket.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 
-from conftest import asyncio_test
+from async_testing import asyncio_test
 
 from saffrongw.channel.signed_datagram import DatagramCodec, SharedKey
 from saffrongw.channel.socket import DatagramChannel
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,16 +5,6 @@
 import dataclasses
 
 import pytest
-from async_testing import asyncio_test as asyncio_test
-from async_testing import until as until
-from client_rig import Caller as Caller
-from client_rig import error as error
-from fake_endpoint import FakeEndpoint
-from fake_endpoint import value as value
-from loopback_rig import SITE as SITE
-from loopback_rig import Rig as Rig
-from program_rig import configured as configured
-from program_rig import started as started
 
 from saffrongw.policy.actions import Action, SetTimer
 from saffrongw.policy.events import (
@@ -38,9 +28,6 @@
     Settings,
 )
 
-# Former name of ``FakeEndpoint``, which other tests import from here.
-FakeHost = FakeEndpoint
-
 SECOND = 1_000_000
 T0 = 1_000 * SECOND  # start of the test clock: endpoints that started at 0 are warm
 
--- a/tests/faults/hot_restart_rig.py
+++ b/tests/faults/hot_restart_rig.py
@@ -12,7 +12,11 @@
 from typing import ClassVar
 
 import hiredis
-from conftest import SITE, Caller, FakeHost, configured, until, value
+from async_testing import until
+from client_rig import Caller
+from fake_endpoint import FakeEndpoint, value
+from loopback_rig import SITE
+from program_rig import configured
 
 from saffrongw.gateway.hot_restart.channel import short_address
 from testbed.runner.processes import die_with_parent, free_port
@@ -123,7 +127,7 @@
 class SharedSite:
     """A gateway address with its endpoints, and the folder shared by all processes that serve the address."""
 
-    def __init__(self, folder: Path, *endpoints: FakeHost, **changes: object) -> None:
+    def __init__(self, folder: Path, *endpoints: FakeEndpoint, **changes: object) -> None:
         """``changes`` override settings; a single endpoint is listed under six names."""
         self.folder = folder
         if len(endpoints) == 1:
@@ -187,7 +191,7 @@
     return kinds
 
 
-def hold_slow_requests(host: FakeHost) -> list:
+def hold_slow_requests(host: FakeEndpoint) -> list:
     """Have an endpoint answer requests with their ids, except ``slow``; its connections are returned in a list."""
     held = []
 
--- a/tests/faults/test_flood.py
+++ b/tests/faults/test_flood.py
@@ -6,7 +6,10 @@
 import signal
 
 import hiredis
-from conftest import Caller, FakeHost, asyncio_test, started, until
+from async_testing import asyncio_test, until
+from client_rig import Caller
+from fake_endpoint import FakeEndpoint
+from program_rig import started
 
 READ, BILL = b"CALL.GET", b"CALL.POST"
 
@@ -34,7 +37,7 @@
             await caller.replied(number)
 
 
-def check_replies(callers: list[Caller], host: FakeHost, each: int) -> tuple[int, int]:
+def check_replies(callers: list[Caller], host: FakeEndpoint, each: int) -> tuple[int, int]:
     """Check that each request got one answer and ran at most once; the numbers of served and refused requests."""
     replies = [reply for caller in callers for reply in caller.replies]
     assert [len(caller.replies) for caller in callers] == [each] * len(callers)
@@ -48,7 +51,7 @@
 
 @asyncio_test
 async def test_a_flood_gets_one_answer_each_and_no_effect_twice(tmp_path):
-    host = await FakeHost("a").listen()
+    host = await FakeEndpoint("a").listen()
     process, connect, _ = await started(host, tmp_path)
     callers = [await connect() for _ in range(16)]
     for place, caller in enumerate(callers):
@@ -67,7 +70,7 @@
 
 @asyncio_test
 async def test_a_resumed_process_answers_requests_that_arrived_while_it_was_stopped(tmp_path):
-    host = await FakeHost("a").listen()
+    host = await FakeEndpoint("a").listen()
     process, connect, _ = await started(host, tmp_path)
     caller = await connect()
     caller.transport.write(command(b"first", 1))
@@ -83,7 +86,7 @@
 
 @asyncio_test
 async def test_connections_that_open_and_close_do_not_delay_answers(tmp_path):
-    host = await FakeHost("a").listen()
+    host = await FakeEndpoint("a").listen()
     process, connect, _ = await started(host, tmp_path)
     callers, number = [await connect()], 0
 
--- a/tests/faults/test_hot_restart.py
+++ b/tests/faults/test_hot_restart.py
@@ -6,7 +6,10 @@
 import signal
 import socket
 
-from conftest import SITE, FakeHost, asyncio_test, error, until, value
+from async_testing import asyncio_test, until
+from client_rig import error
+from fake_endpoint import FakeEndpoint, value
+from loopback_rig import SITE
 
 from saffrongw.gateway.hot_restart.channel import MAX_QUEUED_PACKETS, HandOverChannel, short_address
 from tests.faults.hot_restart_rig import (
@@ -24,7 +27,7 @@
 async def test_idle_busy_and_partly_read_connections_survive_a_hot_restart_and_none_is_refused(
     tmp_path,
 ):
-    host = await FakeHost("a").listen()
+    host = await FakeEndpoint("a").listen()
     held = hold_slow_requests(host)
     site = SharedSite(tmp_path, host)
     old = await site.gateway()
@@ -64,7 +67,7 @@
 
 @asyncio_test
 async def test_quota_counters_and_exclusions_survive_a_hot_restart(tmp_path):
-    host = await FakeHost("a").listen()
+    host = await FakeEndpoint("a").listen()
     plan = SITE["packages"][0] | {"perSecond": 0.001, "peakUnits": 4.0}
     site = SharedSite(tmp_path, host, packages=[plan])
     old = await site.gateway()
@@ -94,7 +97,7 @@
 
 @asyncio_test
 async def test_a_lost_successor_is_forgotten_and_the_next_one_takes_over(tmp_path):
-    site = SharedSite(tmp_path, await FakeHost("a").listen())
+    site = SharedSite(tmp_path, await FakeEndpoint("a").listen())
     old = await site.gateway()
     caller = await site.caller()
     before = old.open_unix_sockets()
@@ -111,7 +114,7 @@
 
 @asyncio_test
 async def test_a_successor_serves_at_once_when_the_running_process_is_killed(tmp_path):
-    site = SharedSite(tmp_path, await FakeHost("a").listen())
+    site = SharedSite(tmp_path, await FakeEndpoint("a").listen())
     old = await site.gateway()
     new = await site.gateway()
     await old.end(signal.SIGKILL)
@@ -129,7 +132,7 @@
 async def test_a_new_process_serves_alone_when_the_socket_accepts_and_never_answers(
     tmp_path,
 ):
-    site = SharedSite(tmp_path, await FakeHost("a").listen())
+    site = SharedSite(tmp_path, await FakeEndpoint("a").listen())
     stranger = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
     with short_address(site.socket_path) as address:
         stranger.bind(address)
@@ -144,7 +147,7 @@
 
 @asyncio_test
 async def test_malformed_packets_are_ignored(tmp_path):
-    site = SharedSite(tmp_path, await FakeHost("a").listen())
+    site = SharedSite(tmp_path, await FakeEndpoint("a").listen())
     old = await site.gateway()
     sock = site.connect()
     for packet in (
@@ -168,7 +171,7 @@
 
 @asyncio_test
 async def test_a_successor_lost_at_sigterm_leaves_an_ordinary_graceful_shutdown(tmp_path):
-    site = SharedSite(tmp_path, await FakeHost("a").listen())
+    site = SharedSite(tmp_path, await FakeEndpoint("a").listen())
     old = await site.gateway()
     caller = await site.caller()
     assert (await answer_of(caller, b"1")) == b"ok"
@@ -186,7 +189,7 @@
     tmp_path,
 ):
     """Refused before: new clients, and clients whose connections had not been handed over yet."""
-    host = await FakeHost("a").listen()
+    host = await FakeEndpoint("a").listen()
     held = hold_slow_requests(host)
     site = SharedSite(tmp_path, host)
     old = await site.gateway()
@@ -214,7 +217,7 @@
 @asyncio_test
 async def test_a_successor_that_reads_nothing_does_not_delay_the_end(tmp_path):
     """The partial commands exceed the channel's capacity; the running process used to wait forever."""
-    site = SharedSite(tmp_path, await FakeHost("a").listen())
+    site = SharedSite(tmp_path, await FakeEndpoint("a").listen())
     old = await site.gateway()
     for _ in range(8):
         command = bill_command(b"half", b"\x01" * 60_000)
@@ -232,7 +235,7 @@
     tmp_path,
 ):
     """A supervisor eventually sends SIGKILL, so requests still in flight must fail before that."""
-    host = await FakeHost("a").listen()
+    host = await FakeEndpoint("a").listen()
     host.script = lambda _: None
     site = SharedSite(tmp_path, host)
     old = await site.gateway()
@@ -251,7 +254,7 @@
 @asyncio_test
 async def test_a_successor_stopped_while_taking_over_serves_what_it_was_given(tmp_path):
     """A supervisor may send SIGTERM to both processes; the successor used to end without serving."""
-    site = SharedSite(tmp_path, await FakeHost("a").listen())
+    site = SharedSite(tmp_path, await FakeEndpoint("a").listen())
     old = await site.gateway()
     caller = await site.caller()
     assert (await answer_of(caller, b"1")) == b"ok"
@@ -274,7 +277,7 @@
 @asyncio_test
 async def test_a_replaced_successor_ends_without_serving(tmp_path):
     """It mistook its replacement for the predecessor's end, so that two processes granted the same quotas."""
-    site = SharedSite(tmp_path, await FakeHost("a").listen())
+    site = SharedSite(tmp_path, await FakeEndpoint("a").listen())
     old = await site.gateway()
     first = await site.gateway()
     second = await site.gateway()
@@ -289,7 +292,7 @@
 @asyncio_test
 async def test_an_ending_process_leaves_the_socket_of_the_next_one(tmp_path):
     """A successor doesn't wait for a stalled process, which at its end used to remove the successor's socket."""
-    site = SharedSite(tmp_path, await FakeHost("a").listen())
+    site = SharedSite(tmp_path, await FakeEndpoint("a").listen())
     old = await site.gateway()
     old.process.send_signal(signal.SIGSTOP)
     new = await site.gateway()
--- a/tests/faults/test_hot_restart_admin_calls.py
+++ b/tests/faults/test_hot_restart_admin_calls.py
@@ -4,7 +4,8 @@
 
 import asyncio
 
-from conftest import FakeHost, asyncio_test, until, value
+from async_testing import asyncio_test, until
+from fake_endpoint import FakeEndpoint, value
 
 from tests.faults.hot_restart_rig import (
     FakeSuccessor,
@@ -18,7 +19,7 @@
 LONG_WAIT_MS = 60_000
 
 
-def ids_at(endpoint: FakeHost) -> list[bytes]:
+def ids_at(endpoint: FakeEndpoint) -> list[bytes]:
     """The ids of the requests that were sent to an endpoint."""
     return [bytes(command[2]) for command in endpoint.commands]
 
@@ -31,7 +32,7 @@
 @asyncio_test
 async def test_the_old_process_retries_at_no_endpoint_excluded_at_its_successor(tmp_path):
     """Excluding an endpoint at the successor did not stop retries of the old process at it (review, case 3)."""
-    endpoints = [await FakeHost(name).listen() for name in "ab"]
+    endpoints = [await FakeEndpoint(name).listen() for name in "ab"]
     held = [hold_slow_requests(endpoint) for endpoint in endpoints]
     site = SharedSite(tmp_path, *endpoints, permissions={"secondCopies": False})
     old = await site.gateway()
@@ -59,7 +60,7 @@
     tmp_path,
 ):
     """A serving process kept to itself what its predecessor or its successor told it."""
-    host = await FakeHost("a").listen()
+    host = await FakeEndpoint("a").listen()
     held = hold_slow_requests(host)
     site = SharedSite(tmp_path, host)
     oldest = await site.gateway()
--- a/tests/leases/test_leader_guard.py
+++ b/tests/leases/test_leader_guard.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from conftest import asyncio_test
+from async_testing import asyncio_test
 
 from saffrongw.certs.certificate_store import CertificateSite
 from saffrongw.certs.documents import CertNote
--- a/tests/leases/test_service.py
+++ b/tests/leases/test_service.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 import pytest
-from conftest import asyncio_test
+from async_testing import asyncio_test
 
 from saffrongw.admin import cli
 from testbed.model.lease_day import LeaseDay
--- a/tests/leases/test_state_report.py
+++ b/tests/leases/test_state_report.py
@@ -11,7 +11,7 @@
 from types import SimpleNamespace
 
 import pytest
-from conftest import asyncio_test
+from async_testing import asyncio_test
 
 from saffrongw.leases.component import LeasesComponent
 from saffrongw.leases.table import LeasesTable, TaskTable, VoterTable
--- a/tests/ledger/gateway_rig.py
+++ b/tests/ledger/gateway_rig.py
@@ -6,7 +6,8 @@
 from pathlib import Path
 
 import pytest
-from conftest import FakeHost, Rig
+from fake_endpoint import FakeEndpoint
+from loopback_rig import Rig
 
 from saffrongw.gateway.extensions import Extensions
 from saffrongw.gateway.filtering_driver import FilteringDriver
@@ -23,7 +24,7 @@
 class LedgerRig:
     """A gateway with a ledger and one endpoint."""
 
-    host: FakeHost
+    host: FakeEndpoint
     ledger: LedgerFilter
     rig: Rig
 
@@ -35,7 +36,7 @@
         with_bodies: bool = False,
     ) -> LedgerRig:
         """Start the endpoint and the gateway, and open the ledger."""
-        self.host = await FakeHost("a").listen()
+        self.host = await FakeEndpoint("a").listen()
         self.ledger = LedgerFilter(
             folder,
             request_classes,
--- a/tests/ledger/test_ledger_request_filter.py
+++ b/tests/ledger/test_ledger_request_filter.py
@@ -7,7 +7,9 @@
 import time
 from typing import Any
 
-from conftest import asyncio_test, error, until, value
+from async_testing import asyncio_test, until
+from client_rig import error
+from fake_endpoint import value
 
 from saffrongw.ledger import writer
 from saffrongw.ledger.entries import ExecutionStatus
--- a/tests/testbed/test_endpoints_over_sockets.py
+++ b/tests/testbed/test_endpoints_over_sockets.py
@@ -8,7 +8,8 @@
 
 import hiredis
 import pytest
-from conftest import Caller, asyncio_test, until
+from async_testing import asyncio_test, until
+from client_rig import Caller
 
 from testbed import __main__ as cli
 from testbed.checker.record import (
--- a/tests/testbed/test_relay.py
+++ b/tests/testbed/test_relay.py
@@ -6,7 +6,7 @@
 import socket
 
 import pytest
-from conftest import asyncio_test, until
+from async_testing import asyncio_test, until
 
 from testbed.model.clock import Clock, Heartbeat
 from testbed.net.relay import TcpFault, TcpRelay, UdpRelay, Way, reset
