Hot restart tests of operators' calls: one way to take over

Read once more: both tests started a successor, ended the old process and waited in the same four lines.

--- a/tests/faults/test_hot_restart_admin_calls.py
+++ b/tests/faults/test_hot_restart_admin_calls.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from async_testing import asyncio_test, until
+from client_rig import Caller
 from fake_endpoint import FakeEndpoint, value
 
 from tests.faults.hot_restart_rig import (
@@ -29,6 +30,15 @@
     assert (await gateway.call("POST", path, body))[0] == 200
 
 
+async def take_over(site: SharedSite, old: GatewayProcess, idle: Caller) -> GatewayProcess:
+    """Start a successor and end the old process; return the successor once it serves a client."""
+    successor = await site.gateway()
+    old.process.terminate()
+    await until(lambda: not old.has_connection(idle))
+    assert (await answer_of(idle, b"after-take-over")) == b"after-take-over"
+    return successor
+
+
 @asyncio_test
 async def test_the_old_process_retries_at_no_endpoint_excluded_at_its_successor(tmp_path):
     """Excluding an endpoint at the successor did not stop retries of the old process at it (review, case 3)."""
@@ -41,10 +51,7 @@
     busy.call(wait=LONG_WAIT_MS, number=b"slow")
     await until(lambda: any(held))
     used, spare = endpoints if held[0] else reversed(endpoints)
-    new = await site.gateway()
-    old.process.terminate()
-    await until(lambda: not old.has_connection(idle))
-    assert (await answer_of(idle, b"between")) == b"between"
+    new = await take_over(site, old, idle)
     await call(new, "cordon", spare.name)
     await old.wait_ready_read()
     for connection in list(used.connections):
@@ -68,10 +75,7 @@
     assert (await answer_of(idle, b"first")) == b"first"
     busy.call(wait=LONG_WAIT_MS, number=b"slow")
     await until(lambda: held)
-    serving = await site.gateway()
-    oldest.process.terminate()
-    await until(lambda: not oldest.has_connection(idle))
-    assert (await answer_of(idle, b"second")) == b"second"
+    serving = await take_over(site, oldest, idle)
     newest = FakeSuccessor(site)
     await asyncio.to_thread(newest.receive_until, "greeted")
     await call(oldest, "cordon", "a")
