--- a/tests/authz/test_server.py
+++ b/tests/authz/test_server.py
@@ -7,6 +7,7 @@
 import grpclib
 import pytest
 from async_testing import asyncio_test
+from authz_rig import NAMES, AuthzRig
 from client_rig import error
 from envoy.service.auth.v3 import external_auth_pb2 as published
 from fake_endpoint import FakeEndpoint
@@ -14,7 +15,6 @@
 from grpclib.const import Cardinality, Handler
 from grpclib.server import Server
 from loopback_rig import SITE, Rig
-from test_request_filter import NAMES, AuthzRig
 
 from saffrongw.authz.attributes import METHOD, ContextExtensionNames
 from saffrongw.authz.server import AuthzServer
--- a/tests/gateway/test_admin_http.py
+++ b/tests/gateway/test_admin_http.py
@@ -193,15 +193,15 @@
     """A gateway quiesced during a hot restart kept its leases in the process that was not called."""
     rig = Rig(await FakeEndpoint("a").listen())
     admin = AdminRig(rig)
-    told: list[bool] = []
-    admin.handlers.draining_listeners = (told.append,)
+    notified: list[bool] = []
+    admin.handlers.draining_listeners = (notified.append,)
     # A predecessor that does not drain says so to each new successor.
     admin.handlers.relay.receive_from_predecessor(["quiesced", False])
-    assert told == []
+    assert notified == []
     admin.handlers.relay.receive_from_predecessor(["quiesced", True])
-    assert told == [True]
+    assert notified == [True]
     admin.handlers.relay.receive_from_successor(["quiesced", False])
-    assert told == [True, False]
+    assert notified == [True, False]
     assert not rig.clients.shutdown.is_draining
 
 
@@ -212,15 +212,15 @@
     endpoint.script = lambda command: None
     rig = Rig(endpoint)
     admin = AdminRig(rig)
-    told: list[bool] = []
-    admin.handlers.draining_listeners = (told.append,)
+    notified: list[bool] = []
+    admin.handlers.draining_listeners = (notified.append,)
     busy = await rig.caller()
     busy.call()
     await until(lambda: endpoint.commands)
     drained = rig.loop.create_task(rig.clients.shutdown.drain(0.0))
     await until(lambda: rig.clients.shutdown.is_draining)
     assert (await admin("POST", "resume"))[0] == 200
-    assert told == []
+    assert notified == []
     busy.ask(b"PING")
     endpoint.connections[0].transport.write(value(b"x"))
     replies = await busy.replied(2)
--- a/tests/gateway/test_upstream_interleavings.py
+++ b/tests/gateway/test_upstream_interleavings.py
@@ -111,11 +111,13 @@
 
 
 @pytest.mark.parametrize(
-    ("kind", "copy"), [("read", value(b"copy")), ("bill", b"-BUSY\r\n")], ids=["value", "refusal"]
+    ("kind", "duplicate"),
+    [("read", value(b"copy")), ("bill", b"-BUSY\r\n")],
+    ids=["value", "refusal"],
 )
 @asyncio_test
 async def test_duplicate_reply_on_handed_over_connection_answers_no_waiting_request(
-    kind, copy, monkeypatch
+    kind, duplicate, monkeypatch
 ):
     """After an upgrade clients got the values of other requests, and reports ran twice (review, case 1)."""
     # On a busy machine the real delay may be over before the duplicate is written.
@@ -127,7 +129,7 @@
     caller.call(kind, number=b"waits")
     await until(lambda: gate.waiting)
     connection = await hand_over_connection(rig, endpoint)
-    connection.transport.write(copy)
+    connection.transport.write(duplicate)
     await until(lambda: connection not in endpoint.connections)
     gate.opened.set()
     assert await caller.replied() == [b"ok"]
