Authorisation: a connection may take 2 s to come up, not 100 ms

Callers saw the same where an authoriser took longer than 100 ms to accept a connection: refused, or sent unchecked, as if none was there.

Cause: grpc.min_reconnect_backoff_ms, 100, which gRPC takes as the least time that a connection may take to come up.

Change: 2 s; each check keeps its own deadline, and the pause between attempts is as before.

--- a/saffrongw/authz/channel.py
+++ b/saffrongw/authz/channel.py
@@ -18,6 +18,8 @@
 MAX_METADATA_BYTES = 16 * 1024  # of headers or trailers
 TLS_FILES_POLL_S = 1.0  # least time between two looks whether the TLS files have changed
 CLOSE_TIMEOUT_S = 0.2  # for checks in flight on a channel that new TLS files replace
+# Time for a connection to come up, TLS and HTTP/2 settings included.
+CONNECT_TIMEOUT_MS = 2_000
 OPTIONS = (
     ("grpc.max_receive_message_length", MAX_REPLY_BYTES),
     ("grpc.max_metadata_size", MAX_METADATA_BYTES),
@@ -27,7 +29,8 @@
     ("grpc.keepalive_permit_without_calls", 1),
     ("grpc.http2.max_pings_without_data", 0),
     ("grpc.initial_reconnect_backoff_ms", 100),
-    ("grpc.min_reconnect_backoff_ms", 100),
+    # gRPC takes this as the least time that a connection may take to come up.
+    ("grpc.min_reconnect_backoff_ms", CONNECT_TIMEOUT_MS),
     ("grpc.max_reconnect_backoff_ms", 3_000),
     ("grpc.enable_retries", 0),  # CheckScheduler alone decides what is sent again
     ("grpc.use_local_subchannel_pool", 1),
--- a/tests/authz/test_request_filter.py
+++ b/tests/authz/test_request_filter.py
@@ -7,6 +7,8 @@
 
 import asyncio
 import dataclasses
+import time
+from unittest import mock
 
 import pytest
 from async_testing import until
@@ -19,6 +21,7 @@
 from saffrongw.authz.request_filter import FailureRules
 from saffrongw.policy.events import EndpointListKind, EndpointListReceived
 from saffrongw.policy.gateway import Gateway
+from testbed.ext_authz_server import server
 from testbed.ext_authz_server.server import MODES, Authoriser, Behaviour, allow, deny
 
 
@@ -103,6 +106,23 @@
     await until(authz_rig.is_idle)
 
 
+@authz_rig_test
+async def test_an_authoriser_that_is_slow_to_accept_a_connection_is_asked(open_):
+    """The connection was given up after 100 ms, and the check failed as if no authoriser was there."""
+    accept = server._Connection.connection_made
+
+    def accept_late(connection: server._Connection, transport: asyncio.Transport) -> None:
+        # The authoriser's machine is busy.
+        time.sleep(0.3)
+        accept(connection, transport)
+
+    with mock.patch.object(server._Connection, "connection_made", accept_late):
+        authz_rig = await open_(await Authoriser().start())
+        caller = await authz_rig.caller()
+        caller.call(wait=4000)
+        assert await caller.replied() == [b"ok"]
+
+
 @authz_rig_test
 async def test_a_reply_after_the_requests_own_deadline_sends_nothing(open_):
     """The request's deadline passes while its check is in flight; the late OK must not send it."""
