Hot restart: a connection is queued with its whole partial command, or waits for room

Cause: a client's connection and the parts of its command were queued one by one, and nobody looked whether the queue took them. The successor dropped the connection whose rest had been refused.

Change: HandOverChannel.send_connection queues all of them or none, up to half of the queue's packets and 4 MiB; a client that finds no room stays and is tried again when the queue is empty, up to the time at which the process may be killed. The messages on the channel are as before.

--- a/saffrongw/gateway/downstream/connection.py
+++ b/saffrongw/gateway/downstream/connection.py
@@ -280,8 +280,8 @@
 
     @property
     def is_unfinished(self) -> bool:
-        """Whether a reply is pending or not written completely."""
-        return bool(self.slots) or self.unwritten_bytes > 0
+        """Whether a reply is pending or not written completely, or a hand-over is due."""
+        return bool(self.slots) or self.unwritten_bytes > 0 or self._awaits_hand_over()
 
     def settle(self) -> None:
         """Hand the connection over, or close it, if that is due; classify it for the reaper."""
@@ -314,6 +314,15 @@
             self.shutdown.give_to_successor is not None and self._is_tls()
         )
 
+    def _awaits_hand_over(self) -> bool:
+        """Whether the successor gets this connection as soon as that is possible."""
+        return (
+            self.shutdown.give_to_successor is not None
+            and not self.is_closing
+            and not self.transport.is_closing()
+            and not self._is_tls()
+        )
+
     def _is_tls(self) -> bool:
         return self.transport.get_extra_info("sslcontext") is not None
 
--- a/saffrongw/gateway/downstream/graceful_shutdown.py
+++ b/saffrongw/gateway/downstream/graceful_shutdown.py
@@ -48,7 +48,7 @@
     def quiesce(self) -> None:
         """Start draining: connections close once idle; requests that arrive are still served."""
         self.is_draining = True
-        self._settle_all()
+        self.settle_all()
 
     def resume(self) -> None:
         """Stop draining, unless the process is about to end."""
@@ -65,15 +65,16 @@
     async def finish(self) -> None:
         """Wait until all replies are written and no connection is opening.
 
-        Connections without a request are waited for no longer than ``UNFINISHED_COMMAND_GRACE_S``,
-        clients that read their replies slowly no longer than until the process may be killed.
+        Connections without a request are waited for no longer than ``UNFINISHED_COMMAND_GRACE_S``.
+        Clients that read their replies slowly, and connections that the successor has no room for
+        yet, are waited for until the process may be killed.
         """
         end_s = self.loop.time() + UNFINISHED_COMMAND_GRACE_S
         while self._is_unfinished(end_s):
-            self._settle_all()
+            self.settle_all()
             await asyncio.sleep(POLL_INTERVAL_S)
         # Connections whose last reply was written since.
-        self._settle_all()
+        self.settle_all()
 
     def _is_unfinished(self, end_s: float) -> bool:
         clients, now_s = self.clients, self.loop.time()
@@ -132,6 +133,7 @@
         for connection in list(self.clients.connections):
             connection.process_commands()
 
-    def _settle_all(self) -> None:
+    def settle_all(self) -> None:
+        """Hand over or close each connection for which that is due."""
         for connection in list(self.clients.connections):
             connection.settle()
--- a/saffrongw/gateway/hot_restart/channel.py
+++ b/saffrongw/gateway/hot_restart/channel.py
@@ -19,7 +19,7 @@
 import socket
 import struct
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from pathlib import Path
 from typing import NamedTuple
 
@@ -37,6 +37,9 @@
 
 # Packets that wait to be sent.
 MAX_QUEUED_PACKETS = 4_096
+# With so much waiting, no connection is queued: operators' calls still find room, and soon arrive.
+MAX_QUEUED_PACKETS_FOR_CONNECTIONS = MAX_QUEUED_PACKETS // 2
+MAX_QUEUED_BYTES_FOR_CONNECTIONS = 4 << 20
 # Time for the running process to greet its successor, and for a stalled peer to read.
 ANSWER_TIMEOUT_S = 1.0
 SEND_POLL_INTERVAL_S = 0.002
@@ -63,6 +66,10 @@
         os.close(folder)
 
 
+def _do_nothing() -> None:
+    """Ignore that the queue has room again: nobody waits for it."""
+
+
 def _is_same_user(sock: socket.socket) -> bool:
     """Whether the peer runs as this user: others must not get descriptors and quota counters."""
     raw = sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, _PEER_CREDENTIALS.size)
@@ -86,7 +93,8 @@
     """Sends packets to the other process and receives its packets.
 
     ``on_message`` owns the sockets that it receives unless it raises ``MalformedMessageError``.
-    ``on_lost`` is called once, when the other process has ended or can't be reached.
+    ``on_lost`` is called once, when the other process has ended or can't be reached. ``on_room`` is
+    called when the queue becomes empty after ``send_connection`` has failed.
     """
 
     def __init__(
@@ -101,8 +109,12 @@
         self.sock = sock
         self.on_message = on_message
         self.on_lost = on_lost
+        self.on_room: Callable[[], object] = _do_nothing
         self.send_queue: deque[_QueuedPacket] = deque()
+        self.queued_bytes = 0
         self.is_open = True
+        # ``send_connection`` has failed since the queue was last empty.
+        self.is_room_awaited = False
         sock.setblocking(False)
         loop.add_reader(sock, self._read)
 
@@ -112,13 +124,37 @@
         is_full = len(self.send_queue) >= MAX_QUEUED_PACKETS
         if not self.is_open or len(packet) > MAX_PACKET_BYTES or is_full:
             return False
+        return self._queue([packet], fds)
+
+    def send_connection(self, messages: Iterable[Iterable[object]], fd: int) -> bool:
+        """Queue a connection and the messages that belong to it: all of them, or none.
+
+        The descriptor goes with the first message. Return whether that worked.
+        """
+        if not self.is_open:
+            return False
+        is_full = (
+            len(self.send_queue) >= MAX_QUEUED_PACKETS_FOR_CONNECTIONS
+            or self.queued_bytes >= MAX_QUEUED_BYTES_FOR_CONNECTIONS
+        )
+        is_queued = not is_full and self._queue([encode(message) for message in messages], (fd,))
+        self.is_room_awaited |= not is_queued
+        return is_queued
+
+    def _queue(self, packets: list[bytes], fds: tuple[int, ...]) -> bool:
+        """Queue packets, the first with duplicates of these descriptors, if there are any left."""
         try:
             duplicates = [os.dup(fd) for fd in fds]
         except OSError as error:
-            log.warning("hot_restart: descriptor not duplicated: cause=%s", error)
+            if not self.is_room_awaited:
+                log.warning("hot_restart: descriptor not duplicated: cause=%s", error)
             return False
-        self.send_queue.append(_QueuedPacket(packet, duplicates))
-        if len(self.send_queue) == 1:
+        was_empty = not self.send_queue
+        for packet in packets:
+            self.send_queue.append(_QueuedPacket(packet, duplicates))
+            self.queued_bytes += len(packet)
+            duplicates = []
+        if was_empty:
             self._write()
         return True
 
@@ -137,8 +173,12 @@
                 self.abort()
                 return
             self.send_queue.popleft()
+            self.queued_bytes -= len(packet.data)
             packet.close()
         self.loop.remove_writer(self.sock)
+        if self.is_room_awaited:
+            self.is_room_awaited = False
+            self.loop.call_soon(self.on_room)
 
     def _read(self) -> None:
         while self.is_open:
@@ -182,6 +222,7 @@
         for packet in self.send_queue:
             packet.close()
         self.send_queue.clear()
+        self.queued_bytes = 0
 
     async def wait_sent(self) -> None:
         """Wait until the send queue is empty or the channel is closed."""
--- a/saffrongw/gateway/hot_restart/predecessor.py
+++ b/saffrongw/gateway/hot_restart/predecessor.py
@@ -103,6 +103,7 @@
         if self.gossip:
             self.gossip.close()
         if await self._send_state(channel):
+            channel.on_room = clients.shutdown.settle_all
             cluster.hand_over(self._give_upstream)
             clients.shutdown.hand_over(self._give_client)
             await wait_for_first(
@@ -128,17 +129,16 @@
         return channel.is_open
 
     def _give_client(self, fd: int, partial_command: bytes) -> bool:
-        """Send a client's idle connection and partial command; return whether that worked."""
+        """Send a client's connection and partial command; return whether that worked.
+
+        Where the channel is full, the client waits here until there is room (``on_room``).
+        """
         channel = self.successor_listener.channel if self.successor_listener else None
-        length = len(partial_command)
-        if channel is None or not channel.send(MessageKind.CLIENT, length, fds=(fd,)):
+        if channel is None or not channel.is_open:
             # The successor can't take over, so drain: connections are at least closed in order.
             self.parts.clients.shutdown.is_draining = True
             return False
-        for start in range(0, length, PARTIAL_COMMAND_CHUNK_BYTES):
-            chunk = partial_command[start : start + PARTIAL_COMMAND_CHUNK_BYTES]
-            channel.send(MessageKind.PARTIAL_COMMAND, encode_bytes(chunk))
-        return True
+        return channel.send_connection(_client_messages(partial_command), fd)
 
     def _give_upstream(self, endpoint_id: EndpointId, started_at_us: int, fd: int) -> bool:
         """Send an idle connection to an endpoint; return whether that worked."""
@@ -147,3 +147,12 @@
         return channel is not None and channel.send(
             MessageKind.UPSTREAM, endpoint, started_at_us, fds=(fd,)
         )
+
+
+def _client_messages(partial_command: bytes) -> Iterator[tuple[object, ...]]:
+    """Yield the message for a client's connection, then those with its partial command."""
+    length = len(partial_command)
+    yield MessageKind.CLIENT, length
+    for start in range(0, length, PARTIAL_COMMAND_CHUNK_BYTES):
+        chunk = partial_command[start : start + PARTIAL_COMMAND_CHUNK_BYTES]
+        yield MessageKind.PARTIAL_COMMAND, encode_bytes(chunk)
--- a/tests/faults/hot_restart_rig.py
+++ b/tests/faults/hot_restart_rig.py
@@ -127,7 +127,9 @@
 class SharedSite:
     """A gateway address with its endpoints, and the folder shared by all processes that serve the address."""
 
-    def __init__(self, folder: Path, *endpoints: FakeEndpoint, **changes: object) -> None:
+    def __init__(
+        self, folder: Path, *endpoints: FakeEndpoint, sockets: int = 128, **changes: object
+    ) -> None:
         """``changes`` override settings; a single endpoint is listed under six names."""
         self.folder = folder
         if len(endpoints) == 1:
@@ -138,7 +140,8 @@
         settings = SITE | changes
         permissions = changes.get("permissions", {})
         settings["permissions"] = SITE["permissions"] | {"peers": False} | permissions
-        self.file, self.port = configured(folder, known=known, settings=settings)
+        limits = {"sockets": sockets}
+        self.file, self.port = configured(folder, known=known, settings=settings, limits=limits)
 
     async def gateway(self) -> GatewayProcess:
         """One more process at the address."""
