Hot restart: a request that has arrived in part over TLS is answered

Cause: during a hand-over no connection is read, as its unread data goes to the successor with it; a TLS connection stays, so nobody read it.

Change: TLS connections are read on in a hand-over; a request that becomes complete is answered with -BUSY, as those in the admission queue are, and PING with an error. An idle one is closed as before.

Measured: test_a_request_that_had_arrived_in_part_over_tls_is_answered failed before (the error line of the command's time limit in place of an answer) and passes; tests of gateway and TLS listener pass.

--- a/saffrongw/gateway/downstream/connection.py
+++ b/saffrongw/gateway/downstream/connection.py
@@ -91,7 +91,7 @@
         is_reading = (
             self.is_writable and not self.is_closing and len(self.slots) < MAX_PIPELINED_COMMANDS
         )
-        is_reading = is_reading and self.shutdown.give_to_successor is None
+        is_reading = is_reading and not self._leaves_commands()
         if is_reading is not self.is_reading and not self.transport.is_closing():
             self.is_reading = is_reading
             self.clients.paused_reads.set_paused(self, not is_reading)
@@ -114,8 +114,7 @@
             return
         self.is_processing = True
         try:
-            # During a hand-over, unprocessed data is left to the process that gets the connection.
-            if self.shutdown.give_to_successor is None:
+            if not self._leaves_commands():
                 self._process_all()
         except MalformedMessageError as error:
             # What follows a malformed command can't be interpreted.
@@ -162,7 +161,7 @@
         if command[0] in (b"CALL.GET", b"CALL.POST"):
             self._process_request(*parse_request(command, self.clients.config))
         elif len(command) == 1 and command[0].upper() == b"PING":
-            self._append_reply(b"-ERR draining\r\n" if self.shutdown.is_draining else b"+PONG\r\n")
+            self._append_reply(b"-ERR draining\r\n" if self._closes_when_idle() else b"+PONG\r\n")
         else:
             raise MalformedMessageError("unknown command")
 
@@ -171,7 +170,7 @@
         clients = self.clients
         if parts[2] in clients.open_request_ids:
             raise MalformedMessageError("a request with this id is open")
-        if self.shutdown.rejects_requests:
+        if self.shutdown.rejects_requests or self.shutdown.give_to_successor:
             self._reject_request(terms, busy_reply(0))
         elif clients.admission_queue.may_start():
             slot = ReplySlot(self, parts[2])
@@ -302,26 +301,28 @@
         """
         if len(self.reader):
             return False
-        if self.shutdown.give_to_successor is not None:
-            # Reading has stopped: this process will not process what lies unread.
+        if self._leaves_commands():
             return True
-        # A client that has just connected is about to send a command.
-        return not self.reaper.is_new(self) and not socket_state.is_readable(self)
+        # In a drain, a client that has just connected is about to send a command.
+        is_handing_over = self.shutdown.give_to_successor is not None
+        is_expected_at_once = not is_handing_over and self.reaper.is_new(self)
+        return not is_expected_at_once and not socket_state.is_readable(self)
 
     def _closes_when_idle(self) -> bool:
         """Whether the gateway drains, or this connection can't be handed to its successor."""
-        return self.shutdown.is_draining or (
-            self.shutdown.give_to_successor is not None and self._is_tls()
-        )
+        is_handing_over = self.shutdown.give_to_successor is not None
+        return self.shutdown.is_draining or (is_handing_over and self._is_tls())
+
+    def _leaves_commands(self) -> bool:
+        """Whether data that is not processed yet is left to the process that gets the connection.
+
+        That holds during a hand-over, but for TLS connections, which stay in this process.
+        """
+        return self.shutdown.give_to_successor is not None and not self._is_tls()
 
     def _awaits_hand_over(self) -> bool:
         """Whether the successor gets this connection as soon as that is possible."""
-        return (
-            self.shutdown.give_to_successor is not None
-            and not self.is_closing
-            and not self.transport.is_closing()
-            and not self._is_tls()
-        )
+        return self._leaves_commands() and not self.is_closing and not self.transport.is_closing()
 
     def _is_tls(self) -> bool:
         return self.transport.get_extra_info("sslcontext") is not None
