Hot restart: an adopted connection that is closed at once gives its descriptor up once

Requests that hosts ran were never answered, as their clients' connections were closed; answers for clients were written to hosts.

Cause: create_connection(sock=...) makes the transport own the socket object only after connection_made. The pool aborted the connection of an endpoint that drained (was removed; while this process handed over) within connection_made, so the loop closed the descriptor, and the socket object closed the same number again when it was dropped; by then it was another connection's.

Change: the pool uses connect_accepted_socket, which attaches the socket before connection_made; a connection to a draining endpoint is not adopted.

--- a/saffrongw/gateway/upstream/cluster.py
+++ b/saffrongw/gateway/upstream/cluster.py
@@ -64,10 +64,11 @@
             pool.hand_over()
 
     def adopt(self, endpoint_id: EndpointId, started_at_us: int, sock: socket.socket) -> None:
-        """Use the predecessor's connection if the endpoint is still the same incarnation."""
+        """Use the predecessor's connection if its endpoint is in service and has not restarted."""
         pool = self.pools.get(endpoint_id)
         if (
             pool is None
+            or pool.is_draining
             or pool.started_at_us != started_at_us
             or self.give_to_successor
             or not self.ensure_capacity()
--- a/saffrongw/gateway/upstream/pool.py
+++ b/saffrongw/gateway/upstream/pool.py
@@ -106,9 +106,14 @@
             timer.cancel()
 
     async def _adopt(self, sock: socket.socket) -> None:
+        """Open a connection on an established socket.
+
+        ``create_connection`` makes the transport own the socket only after ``connection_made``; of
+        a connection that is closed there, the descriptor would be closed a second time.
+        """
         try:
-            await self.cluster.loop.create_connection(
-                lambda: UpstreamConnection(self, is_adopted=True), sock=sock
+            await self.cluster.loop.connect_accepted_socket(
+                lambda: UpstreamConnection(self, is_adopted=True), sock
             )
         except OSError:
             self.cluster.open_connections -= 1
