Leases: a voter's silence begins when the old process of a hot restart has ended

At-most tasks ran a turn for two holders, and the older one went on calling after the newer one.

Cause: the new process counted its silence from its own start, but the old one votes until it ends, up to 3.7 s later; grants of that time were unknown to the new one when its silence was over. With state_dir the reserved fencing tokens were read too early in the same way.

Change: in a hot restart the node takes no part until the channel's socket is bound, which is when the old process has closed it; then it reads the reserved tokens, begins its silence and announces itself. Upgrading a majority of the voters at once now pauses tasks for up to a lease duration.

--- a/saffrongw/channel/socket.py
+++ b/saffrongw/channel/socket.py
@@ -60,6 +60,8 @@
         self.handlers: dict[int, Handler] = {}
         self.transport: asyncio.DatagramTransport | None = None
         self.bind_task: asyncio.Task[None] | None = None
+        # Set once the socket is bound: no other process receives what is sent to the address.
+        self.is_bound = asyncio.Event()
         # The keys are names in /admin/stats.
         self.counters = {"sent": 0, "received": 0, "bytes_sent": 0, "nowhere": 0, "not_sent": 0}
 
@@ -142,6 +144,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of the bound socket."""
         self.transport = transport  # type: ignore[assignment]
+        self.is_bound.set()
 
     def datagram_received(self, data: bytes, source: Address) -> None:
         """Handle a received datagram, whose sender is not authenticated yet."""
--- a/saffrongw/leases/component.py
+++ b/saffrongw/leases/component.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 from collections.abc import Callable
 from pathlib import Path
@@ -24,10 +25,14 @@
 from .node import LeaseNode, NodeSettings
 from .node_driver import NodeDriver
 from .state_report import JsonObject, metrics_of, state_of
-from .store import LeaseStore
+from .store import LeaseStore, LeaseStoreError
 from .table import LeasesTable
 from .token_reservation import TokenReservation
 
+log = logging.getLogger(__name__)
+
+# Between attempts to read the store in a hot restart.
+STORE_RETRY_S = 1.0
 # Keys of [leases] that a reload can't change.
 FIXED_KEYS = ("span_s", "drift", "shards", "state_dir")
 
@@ -47,6 +52,8 @@
         self.store = LeaseStore(Path(table.state_dir)) if table.state_dir else None
         self.loop: asyncio.AbstractEventLoop | None = None
         self.node_driver: NodeDriver | None = None
+        # In a hot restart: waits for the end of the previous process.
+        self.joining: asyncio.Task[None] | None = None
         # Leases besides the shards, one for each leader guard.
         self.named_leases: list[str] = []
         self.commands = LeaseAdminCommands(self._started, self.state, self.named_leases)
@@ -94,7 +101,29 @@
             lambda: driver.is_overloaded(),
             reservation,
         )
-        self.node_driver.start(table)
+        self.node_driver.start(table, awaits_predecessor=driver.is_successor)
+        if driver.is_successor:
+            self.joining = self.loop.create_task(self._join_after_predecessor(self.node_driver))
+
+    async def _join_after_predecessor(self, node_driver: NodeDriver) -> None:
+        """Take part in the lease set once the previous process has closed its socket.
+
+        Until then that process grants leases in this gateway's name, which are unknown here.
+        """
+        await self.channel.channel.is_bound.wait()
+        reserved_token = await self._reserved_token() if self.store else 0
+        node_driver.predecessor_ended(reserved_token)
+
+    async def _reserved_token(self) -> int:
+        """Return the highest reserved token; while the store can't be read, ask it again."""
+        assert self.store is not None
+        assert self.loop is not None
+        while True:
+            try:
+                return await self.loop.run_in_executor(self.store.pool, self.store.reserved)
+            except LeaseStoreError as error:
+                log.warning('leases: store_not_readable: error="%s"', error)
+            await asyncio.sleep(STORE_RETRY_S)
 
     def _set_addresses(self, table: LeasesTable) -> None:
         addresses = {name: parse_address(text) for name, text in table.addresses.items()}
@@ -102,6 +131,9 @@
 
     async def stop(self) -> None:
         """Release all leases, end all calls, and close the store."""
+        if self.joining:
+            self.joining.cancel()
+            await asyncio.gather(self.joining, return_exceptions=True)
         if self.node_driver:
             await self.node_driver.close()
         if self.store and self.loop:
--- a/saffrongw/leases/node_driver.py
+++ b/saffrongw/leases/node_driver.py
@@ -67,16 +67,36 @@
         self.table: LeasesTable | None = None
         self.malformed_count = 0
         self.closing = False
+        # Another process of this gateway still votes: nothing is due here.
+        self.awaits_predecessor = False
         # Leases to release as soon as no task is in the middle of a turn.
         self._recalled: set[str] = set()
         # By lease: when a receiver last reported a higher token.
         self._fenced_us: dict[str, int] = {}
         self._timer: asyncio.TimerHandle | None = None
 
-    def start(self, table: LeasesTable) -> None:
-        """Start to receive packets and to take part in the lease set."""
+    def start(self, table: LeasesTable, awaits_predecessor: bool = False) -> None:
+        """Start to receive packets and to take part in the lease set.
+
+        In a hot restart the node takes part only from ``predecessor_ended`` on.
+        """
         self._configure(table)
         self.channel.handlers[DATAGRAM_KIND] = self.receive
+        self.awaits_predecessor = awaits_predecessor
+        if not awaits_predecessor:
+            self.wake()
+
+    def predecessor_ended(self, reserved_token: int) -> None:
+        """Take part from now on, as nobody else votes in this gateway's name any more.
+
+        The predecessor may have granted anything until now, under tokens up to ``reserved_token``.
+        """
+        now = self.clock.now()
+        self.awaits_predecessor = False
+        if acceptor := self.node.acceptor:
+            acceptor.restart_silence(now)
+            acceptor.token_floor = max(acceptor.token_floor, reserved_token)
+        self.node.announce_now(now)
         self.wake()
 
     def _configure(self, table: LeasesTable) -> None:
@@ -126,6 +146,15 @@
                 self._recalled.add(claim.lease)
         self.wake()
 
+    def silent_for_us(self) -> int:
+        """Return how much longer this voter is silent at least; 0 if it votes or is no voter."""
+        acceptor = self.node.acceptor
+        if acceptor is None:
+            return 0
+        if self.awaits_predecessor:
+            return self.node.timing.silence_us
+        return acceptor.silent_for_us(self.clock.now())
+
     # -- the node ----------------------------------------------------------------------------------
 
     def receive(self, sender: str, incarnation: int, payload: bytes) -> None:
@@ -144,6 +173,8 @@
 
     def wake(self) -> None:
         """Do what is due, and set the timer."""
+        if self.awaits_predecessor:
+            return
         now = self.clock.now()
         self.node.overloaded = self.overloaded()
         self.process(self.node.due(now, self.clock.wall(now)))
@@ -166,7 +197,7 @@
         self.conditions.check(now, self.node, error)
         if self.reservation:
             self.reservation.reserve_ahead(self.node.acceptor)
-        if not self.closing:
+        if not self.closing and not self.awaits_predecessor:
             self._set_timer()
 
     def _set_timer(self) -> None:
--- a/saffrongw/leases/state_report.py
+++ b/saffrongw/leases/state_report.py
@@ -30,7 +30,7 @@
     rows = _node_metrics(driver, now)
     rows += _counter_metrics(driver)
     if node.acceptor:
-        rows += _acceptor_metrics(node.acceptor, now)
+        rows += _acceptor_metrics(driver, node.acceptor)
     return rows
 
 
@@ -72,9 +72,9 @@
     ]
 
 
-def _acceptor_metrics(acceptor: Acceptor, now: int) -> list[tuple[str, int]]:
+def _acceptor_metrics(driver: NodeDriver, acceptor: Acceptor) -> list[tuple[str, int]]:
     return [
-        ("voter.silent_ms", acceptor.silent_for_us(now) // MILLISECOND_US),
+        ("voter.silent_ms", driver.silent_for_us() // MILLISECOND_US),
         ("voter.standing", len(acceptor.candidates.by_name)),
         ("voter.turned_away", acceptor.candidates.rejected_count),
         *((f"voter.{name}", count) for name, count in acceptor.counters.items()),
@@ -96,7 +96,7 @@
         "sealed": node.transition.complete(),
         "voters": list(node.voter_set.voters),
         "is_voter": acceptor is not None,
-        "silent_ms": acceptor.silent_for_us(now) // MILLISECOND_US if acceptor else 0,
+        "silent_ms": driver.silent_for_us() // MILLISECOND_US,
         "since_majority_ms": since_us // MILLISECOND_US if since_us is not None else None,
         "standing": sorted(acceptor.candidates.by_name) if acceptor else [],
         "clock": node.proposer.stop_reason,
--- a/saffrongw/leases/store.py
+++ b/saffrongw/leases/store.py
@@ -42,10 +42,25 @@
             self.db.execute("PRAGMA journal_mode=WAL")
             self.db.execute("PRAGMA synchronous=FULL")
             self._create_schema(self.db)
-            row = self.db.execute("SELECT reserved FROM numbers WHERE id = 1").fetchone()
-            return int(row[0]) if row else 0
         except sqlite3.Error as error:
             raise LeaseStoreError(f"{self.path}: {error}") from None
+        return self.reserved()
+
+    def reserved(self) -> int:
+        """Return the highest token that any process has reserved, or 0.
+
+        Raise ``LeaseStoreError`` on failure.
+        """
+        try:
+            row = self._open_db().execute("SELECT reserved FROM numbers WHERE id = 1").fetchone()
+        except sqlite3.Error as error:
+            raise LeaseStoreError(f"{self.path}: {error}") from None
+        return int(row[0]) if row else 0
+
+    def _open_db(self) -> sqlite3.Connection:
+        if self.db is None:
+            raise LeaseStoreError(f"{self.path}: not open")
+        return self.db
 
     def _create_schema(self, db: sqlite3.Connection) -> None:
         version = db.execute("PRAGMA user_version").fetchone()[0]
@@ -64,10 +79,9 @@
 
         Raise ``LeaseStoreError`` on failure.
         """
-        if self.db is None:
-            raise LeaseStoreError(f"{self.path}: not open")
+        db = self._open_db()
         try:
-            self.db.execute(
+            db.execute(
                 "INSERT INTO numbers VALUES (1, ?) ON CONFLICT (id)"
                 " DO UPDATE SET reserved = max(reserved, ?)",
                 (up_to, up_to),
