Tests of the leases' public names: the fake driver says that it is no successor

Cause: their fake driver lacked Driver.is_successor, which the component reads since then. Change: the fake has the attribute, False as of a gateway that starts alone; no check has changed. Measured: tests/leases and tests/channel pass.

--- a/tests/leases/test_state_report.py
+++ b/tests/leases/test_state_report.py
@@ -59,7 +59,9 @@
         )
         component = LeasesComponent(table, channel)
         loop = asyncio.get_running_loop()
-        await component.start(SimpleNamespace(loop=loop, is_overloaded=lambda: False))
+        await component.start(
+            SimpleNamespace(loop=loop, is_successor=False, is_overloaded=lambda: False)
+        )
         try:
             check(component)
         finally:
