Authorisation server: in a hot restart it moves to the new process at the take-over

Next to it: after the take-over the old process denied checks until its end, as it had given its quotas away.

Cause: the server bound its address at the start of the process and kept it to the end.

Change: it is a listener too. A successor listens when it serves, as soon as the address is free; a process that drains or hands over stops its server then. A start without a predecessor still fails on a busy address.

--- a/saffrongw/authz/build.py
+++ b/saffrongw/authz/build.py
@@ -44,4 +44,4 @@
         tls_files(options.tls),
     )
     # A gateway with a service runs a FilteringDriver, which this service requires.
-    return Component(server, services=(cast("Service", server),))
+    return Component(server, services=(cast("Service", server),), listeners=(server,))
--- a/saffrongw/authz/server.py
+++ b/saffrongw/authz/server.py
@@ -6,11 +6,15 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
+import socket
 from collections import Counter
 
 import grpc
 
+from saffrongw.gateway.config import parse_address
+from saffrongw.gateway.downstream.listener import ClientConnections
 from saffrongw.gateway.filtering_driver import FilteringDriver
 
 from ..policy.actions import AdmitRequest, RejectRequest
@@ -28,6 +32,11 @@
 log = logging.getLogger(__name__)
 
 STOP_TIMEOUT_S = 0.5  # for checks in progress when the server stops
+# In a hot restart: how often to look whether the previous process has left the address, when to
+# say that it still has not, and the time between attempts that fail for another reason.
+BIND_RETRY_S = 0.01
+BIND_WARNING_S = 5.0
+LISTEN_RETRY_S = 1.0
 OPTIONS = (
     ("grpc.max_receive_message_length", MAX_REPLY_BYTES),
     ("grpc.max_metadata_size", MAX_METADATA_BYTES),
@@ -39,7 +48,11 @@
 
 
 class AuthzServer:
-    """A gRPC server of the authorisation protocol, which listens from ``start`` to ``stop``."""
+    """A gRPC server of the authorisation protocol.
+
+    It listens from ``start`` on, and in a hot restart from when this process serves (``open``) and
+    the previous one has closed its own server, until the process drains or hands over (``close``).
+    """
 
     name = "authz_server"
 
@@ -53,7 +66,7 @@
         max_in_flight: int,
         tls: TlsFiles | None = None,
     ) -> None:
-        """Keep the address; ``start`` binds it."""
+        """Keep the address; ``start`` or ``open`` binds it."""
         self.listen, self.names, self.extension_names = listen, names, extension_names
         self.gateway_count, self.max_units, self.max_in_flight, self.tls = (
             gateway_count,
@@ -65,10 +78,72 @@
         self.server: grpc.aio.Server | None = None
         self.port = 0
         self.tls_file_stats: tuple = ()
+        self.opening_task: asyncio.Task[None] | None = None
+        self.stopping_task: asyncio.Task[None] | None = None
 
     async def start(self, driver: FilteringDriver) -> None:
-        """Listen; raise ``OSError`` where that is not possible."""
+        """Listen, unless another process serves still; raise ``OSError`` if that fails."""
         self.driver = driver
+        if not driver.is_successor:
+            await self._listen()
+
+    # -- as a listener of the gateway: in a hot restart it moves from one process to the next ------
+
+    @property
+    def opening(self) -> int:
+        """No client connection of the gateway is opened here."""
+        return 0
+
+    async def open(self, clients: ClientConnections) -> None:
+        """Listen as soon as the address is free, if ``start`` has left it to the predecessor."""
+        if self.server is None:
+            self.opening_task = clients.loop.create_task(self._listen_when_free())
+
+    def close(self) -> None:
+        """Accept no more checks, so that a successor can listen; those in progress finish."""
+        if self.opening_task:
+            self.opening_task.cancel()
+        if self.server and self.stopping_task is None:
+            stop = self.server.stop(STOP_TIMEOUT_S)
+            self.stopping_task = asyncio.get_running_loop().create_task(stop)
+
+    async def stop(self) -> None:
+        """Accept no more checks, and wait until those in progress are finished."""
+        self.close()
+        tasks = [task for task in (self.opening_task, self.stopping_task) if task]
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    # -- listening ---------------------------------------------------------------------------------
+
+    async def _listen_when_free(self) -> None:
+        loop = asyncio.get_running_loop()
+        warning = loop.call_later(BIND_WARNING_S, self._warn_of_address_in_use)
+        try:
+            while not self._is_free():
+                await asyncio.sleep(BIND_RETRY_S)
+        finally:
+            warning.cancel()
+        while True:
+            try:
+                return await self._listen()
+            except OSError as error:
+                log.warning('authz_server: listen_failed: error="%s"', error)
+            await asyncio.sleep(LISTEN_RETRY_S)
+
+    def _warn_of_address_in_use(self) -> None:
+        log.warning("authz_server: address_in_use: listen=%s", self.listen)
+
+    def _is_free(self) -> bool:
+        """Whether nobody listens on the address; gRPC would log each attempt that fails."""
+        host, port = parse_address(self.listen)
+        try:
+            family = socket.getaddrinfo(host, port, type=socket.SOCK_STREAM)[0][0]
+            socket.create_server((host, port), family=family).close()
+        except OSError:
+            return False
+        return True
+
+    async def _listen(self) -> None:
         self.server = grpc.aio.server(options=OPTIONS, maximum_concurrent_rpcs=self.max_in_flight)
         service, name = METHOD.strip("/").split("/")
         handler = grpc.unary_unary_rpc_method_handler(self._check)
@@ -78,8 +153,10 @@
         try:
             self.port = self._bind()
         except RuntimeError as error:
+            self.server = None
             raise OSError(f"authz_server can't listen on {self.listen}: {error}") from None
         if not self.port:
+            self.server = None
             raise OSError(f"authz_server can't listen on {self.listen}")
         await self.server.start()
 
@@ -136,8 +213,3 @@
         self.counts["undecided"] += 1
         await context.abort(grpc.StatusCode.UNAVAILABLE, "not decided")
         raise AssertionError("abort raises")
-
-    async def stop(self) -> None:
-        """Accept no more checks, and finish those in progress."""
-        if self.server:
-            await self.server.stop(STOP_TIMEOUT_S)
