Clients: one connection's share of an event loop iteration is bounded

Cause: the limit of 128 commands in progress does not bound what is answered at once. All of a read was processed in one go, and the loop read the connection again, up to 32 times in one iteration.

Change: 128 commands or 2,048 rejections without parsing in an iteration; the rest waits for the next one with reading paused, as after any read of 64 KiB or more. The test of a client that reads no replies asked for 2,000,000 answers within 100 iterations; it now has the kernel take little, so that the same backpressure shows within them.

--- a/saffrongw/gateway/downstream/connection.py
+++ b/saffrongw/gateway/downstream/connection.py
@@ -19,6 +19,14 @@
 # Commands of one connection that may wait for their replies; further ones stay unread.
 MAX_PIPELINED_COMMANDS = 128
 
+# What one connection may take of an iteration of the event loop, in units of the cheapest work: a
+# rejection without parsing.
+TURN_BUDGET = 2_048
+REJECTION_COST = 1
+COMMAND_COST = 16
+# After a read of this size there may be more unread, which the loop would read at once.
+FULL_READ_BYTES = 64 * 1024
+
 # In an overload a connection at the pipeline limit is still read, to reject its commands early,
 # until this many bytes of rejections wait behind its pending replies.
 MAX_PENDING_REJECTION_BYTES = 64 * 1024
@@ -55,6 +63,8 @@
         self.is_closing = False
         self.is_reading = True
         self.is_writable = True
+        # Commands that have arrived wait for the next iteration of the event loop.
+        self.is_turn_over = False
         # Set within ``process_commands``, which an immediate reply would reenter by ``flush``.
         self.is_processing = False
         self.is_flush_scheduled = False
@@ -91,7 +101,7 @@
         is_reading = (
             self.is_writable and not self.is_closing and len(self.slots) < MAX_PIPELINED_COMMANDS
         )
-        is_reading = is_reading and not self._leaves_commands()
+        is_reading = is_reading and not self.is_turn_over and not self._leaves_commands()
         if is_reading is not self.is_reading and not self.transport.is_closing():
             self.is_reading = is_reading
             self.clients.paused_reads.set_paused(self, not is_reading)
@@ -104,13 +114,17 @@
 
     def data_received(self, data: bytes) -> None:
         """Process the commands that are complete with this data."""
-        if not self.is_closing:
-            self.reader.feed(data)
-            self.process_commands()
+        if self.is_closing:
+            return
+        self.reader.feed(data)
+        self.process_commands()
+        if len(data) >= FULL_READ_BYTES and not self.is_turn_over:
+            self._end_turn()
+            self.update_reading()
 
     def process_commands(self) -> None:
-        """Process the complete commands, up to the pipeline limit."""
-        if self.is_processing:
+        """Process the complete commands, up to the pipeline limit and this turn's budget."""
+        if self.is_processing or self.is_turn_over:
             return
         self.is_processing = True
         try:
@@ -123,15 +137,29 @@
         self.update_reading()
         self.settle()
 
+    def _end_turn(self) -> None:
+        """Leave the rest to the next turn: whoever sends most must not keep others waiting."""
+        self.is_turn_over = True
+        self.clients.loop.call_soon(self._begin_turn)
+
+    def _begin_turn(self) -> None:
+        self.is_turn_over = False
+        if not self.transport.is_closing():
+            self.process_commands()
+
     def _process_all(self) -> None:
         clients, reader, slots = self.clients, self.reader, self.slots
         queue, request_format = clients.admission_queue, clients.request_format
         saturated, shed_count = queue.saturated, 0
+        budget = TURN_BUDGET
         while (
             not self.is_closing
             and len(reader)
             and (len(slots) < MAX_PIPELINED_COMMANDS or self._may_reject_more())
         ):
+            if budget <= 0:
+                self._end_turn()
+                break
             # A request that is certain to be rejected in this turn is not parsed, so that a flood
             # of rejections costs as little as possible.
             if (
@@ -141,7 +169,9 @@
             ):
                 reader.position, shed_count = skimmed[0], shed_count + 1
                 clients.count_shed(skimmed[2])
+                budget -= REJECTION_COST
                 continue
+            budget -= COMMAND_COST
             if shed_count:
                 self._append_rejections(queue.rejection, shed_count)
                 shed_count = 0
--- a/tests/gateway/test_downstream_connection.py
+++ b/tests/gateway/test_downstream_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import hiredis
 import pytest
@@ -153,6 +154,10 @@
     pause = client.pause_writing
     client.transport.set_write_buffer_limits(high=1024)
     client.pause_writing = lambda: (paused.append(True), pause())
+    # The kernel takes little, as the gateway answers only a part of these commands in a turn.
+    sent, received = [each.transport.get_extra_info("socket") for each in (client, caller)]
+    sent.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    received.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
     pings = 0
     while not paused and pings < 2_000_000:
         caller.transport.write(hiredis.pack_command((b"PING",)) * 20_000)
--- /dev/null
+++ b/tests/gateway/test_turn_budget.py
@@ -0,0 +1,94 @@
+"""One connection's share of an iteration of the event loop: others get their turn before the rest."""
+
+from __future__ import annotations
+
+import hiredis
+import pytest
+from async_testing import asyncio_test, until
+from client_rig import Caller
+from fake_endpoint import FakeEndpoint
+from loopback_rig import Rig
+
+from saffrongw.gateway.downstream.connection import COMMAND_COST, FULL_READ_BYTES, TURN_BUDGET
+
+PING = hiredis.pack_command((b"PING",))
+COMMANDS_PER_TURN = TURN_BUDGET // COMMAND_COST
+COUNT = 20 * COMMANDS_PER_TURN
+
+
+def read_command(number: int, customer: int) -> bytes:
+    """A request that may be repeated."""
+    terms = b"c=read,t=team,d=2000,units=1,spread=2,first=0"
+    return hiredis.pack_command((b"CALL.GET", b"%016x" % customer, b"n%d" % number, terms))
+
+
+COMMANDS = {
+    "pings": PING * COUNT,
+    "requests": b"".join(read_command(number, 7) for number in range(COUNT)),
+    "requests of ever new customers": b"".join(read_command(n, n) for n in range(COUNT)),
+}
+
+
+async def connected() -> tuple[Rig, Caller]:
+    """Return a gateway and a client whose connection is the only one."""
+    rig = Rig(await FakeEndpoint("a").listen())
+    caller = await rig.caller()
+    await until(lambda: rig.clients.connections)
+    return rig, caller
+
+
+@pytest.mark.parametrize("kind", COMMANDS)
+@asyncio_test
+async def test_commands_that_arrive_together_take_several_turns_and_are_all_answered(kind):
+    """Guards against one client that kept all others waiting (issue 59, picture b)."""
+    rig, caller = await connected()
+    (connection,) = rig.clients.connections
+    answered = []
+    append_reply = connection._append_reply
+    connection._append_reply = lambda reply: (answered.append(reply), append_reply(reply))
+    connection.data_received(COMMANDS[kind])
+    assert len(answered) <= COMMANDS_PER_TURN
+    assert len(connection.reader) > len(COMMANDS[kind]) // 2
+    assert not connection.is_reading
+    await caller.replied(COUNT)
+    await until(lambda: connection.is_reading)
+    assert len(caller.replies) == COUNT
+
+
+@asyncio_test
+async def test_another_client_is_answered_before_the_rest():
+    rig, caller = await connected()
+    (connection,) = rig.clients.connections
+    other = await rig.caller()
+    await until(lambda: len(rig.clients.connections) == 2)
+    other.ask(b"PING")
+    connection.data_received(PING * COUNT)
+    await other.replied()
+    assert len(caller.replies) < COUNT
+    await caller.replied(COUNT)
+
+
+@asyncio_test
+async def test_reads_that_are_cheap_to_process_do_not_follow_each_other_in_one_turn():
+    """A loop may read again at once after a read that filled its buffer."""
+    rig, _caller = await connected()
+    (connection,) = rig.clients.connections
+    connection.data_received(b"*5\r\n$9\r\nCALL.POST\r\n$16\r\n" + b"0" * 16 + b"\r\n")
+    assert connection.is_reading
+    connection.reader.feed(b"$2\r\nid\r\n$4\r\nc=x,\r\n$65536\r\n")
+    connection.data_received(b"x" * FULL_READ_BYTES)
+    assert not connection.is_reading
+    await until(lambda: connection.is_reading)
+
+
+@asyncio_test
+async def test_rest_goes_to_the_successor_of_a_hot_restart():
+    rig, caller = await connected()
+    (connection,) = rig.clients.connections
+    connection.data_received(PING * COUNT)
+    given = []
+    rig.clients.shutdown.hand_over(lambda _fd, unprocessed: not given.append(unprocessed))
+    await rig.clients.shutdown.finish()
+    await until(lambda: caller.closed)
+    # The predecessor has answered the others.
+    assert len(caller.replies) + given[0].count(PING) == COUNT
