Discovery: one answer in an event loop iteration, and polls that are not read are bounded

Cause: all answers of a read were applied in one go, and each sent the next poll, without a bound on polls that the service does not read.

Change: what follows an answer waits for the next iteration; the connection is closed, and opened anew by the schedule, when more than 64 KiB of polls are unread.

--- a/saffrongw/gateway/discovery/client.py
+++ b/saffrongw/gateway/discovery/client.py
@@ -24,6 +24,8 @@
 # Digits of ``Retry-After`` that are read.
 MAX_RETRY_AFTER_DIGITS = 6
 MS_PER_S = 1_000
+# Polls that wait for the service to read them; it gets one at a time, so it has read none for long.
+MAX_UNREAD_POLL_BYTES = 64 * 1024
 
 # Errors in parsing an answer, or in the listener that applies its list. They close the connection:
 # the poll is repeated on a new one, so an answer that was not applied is fetched again.
@@ -70,7 +72,9 @@
         self.client.connected(self)
 
     def send(self, target: str, host: str) -> None:
-        """Send one request."""
+        """Send one request; raises ``DiscoveryError`` if the service reads none."""
+        if self.transport.get_write_buffer_size() > MAX_UNREAD_POLL_BYTES:
+            raise DiscoveryError("the service answers and does not read")
         request = h11.Request(method="GET", target=target, headers=[("host", host)])
         self.transport.write(self.http.send(request) + self.http.send(h11.EndOfMessage()))
 
@@ -82,10 +86,31 @@
             self.http.receive_data(data)
             self._read_events()
         except ANSWER_ERRORS as error:
-            log.warning("discovery: answer unusable: error=%.200s", error)
-            self.transport.abort()
+            self._answer_unusable(error)
+
+    def _answer_unusable(self, error: Exception) -> None:
+        log.warning("discovery: answer unusable: error=%.200s", error)
+        self.transport.abort()
+
+    def _await_next_turn(self) -> None:
+        """Leave what follows an answer to the next iteration of the event loop.
+
+        A service that sends answers that nobody has asked for must not keep clients waiting.
+        """
+        self.transport.pause_reading()
+        self.client.loop.call_soon(self._continue_reading)
+
+    def _continue_reading(self) -> None:
+        if self.client.connection is not self or self.transport.is_closing():
+            return
+        self.transport.resume_reading()
+        try:
+            self._read_events()
+        except ANSWER_ERRORS as error:
+            self._answer_unusable(error)
 
     def _read_events(self) -> None:
+        """Process what has arrived, up to the end of one answer."""
         while (event := self.http.next_event()) not in (h11.NEED_DATA, h11.PAUSED):
             if isinstance(event, h11.Response):
                 self.status = event.status_code
@@ -95,6 +120,9 @@
             elif isinstance(event, h11.EndOfMessage):
                 if not self._answer_complete():
                     return
+                if self.http.trailing_data[0] and not self.transport.is_closing():
+                    self._await_next_turn()
+                    return
             elif isinstance(event, h11.ConnectionClosed):
                 return
 
