Test of checks in an upgrade: wait for answers, not for a number of tries

Seen: test_an_old_process_that_still_has_requests_denies_no_checks failed once beside other tests: all of its 100 tries were refused within the time that the new process needed to listen. Cause: a refused connection ends at once, so 100 tries are no wait for a condition.

--- a/tests/authz/test_server_hot_restart.py
+++ b/tests/authz/test_server_hot_restart.py
@@ -85,8 +85,10 @@
         await until(lambda: held)
         new = await rig.gateway()
         old.process.terminate()
-        statuses = {await rig.check() for _ in range(100)}
-        assert OK in statuses and DENIED not in statuses
+        statuses = []
+        while statuses.count(OK) < 20:
+            statuses.append(await rig.check())
+        assert DENIED not in statuses
         assert old.process.returncode is None
         held[0].transport.write(value(b"slow"))
         assert await busy.replied() == [b"slow"]
