Requests: an id that comes again is not sent a second time where it may have run

Cause: an id was known only while its client's connection was open; its attempt went on after that.

In a hot restart the old process sends them, and those in flight, before GO, by a new message that earlier versions log and skip. A client that has left is noticed before each of its further turns of commands. One function has moved from connection.py to request_parser.py, unchanged.

--- a/saffrongw/gateway/downstream/connection.py
+++ b/saffrongw/gateway/downstream/connection.py
@@ -6,7 +6,7 @@
 from collections import deque
 from typing import TYPE_CHECKING, cast
 
-from ..request_parser import parse_request
+from ..request_parser import class_and_plan, parse_request
 from ..request_types import FAILED, RequestTerms, busy_reply
 from ..resp import CommandReader, MalformedMessageError
 from ..streaming_reply import StreamingReply
@@ -32,17 +32,6 @@
 MAX_PENDING_REJECTION_BYTES = 64 * 1024
 
 
-def _class_and_plan(parts: tuple[bytes, ...]) -> bytes:
-    """Return ``CLASS,t=PLAN`` of a command in the form that ``RequestFormat.skim`` returns.
-
-    Empty if the terms are in another order.
-    """
-    words = parts[3].split(b",")
-    if len(words) > 2 and words[0].startswith(b"c="):
-        return words[0][2:] + b"," + words[1]
-    return b""
-
-
 class ClientConnection(asyncio.Protocol):
     """A client connection that awaits a command, has requests in flight, is idle, or is closing."""
 
@@ -143,8 +132,11 @@
         self.clients.loop.call_soon(self._begin_turn)
 
     def _begin_turn(self) -> None:
+        """Process the rest, unless the client has left meanwhile: reading is paused."""
         self.is_turn_over = False
-        if not self.transport.is_closing():
+        if socket_state.disconnected((self,)):
+            self.transport.abort()
+        elif not self.transport.is_closing():
             self.process_commands()
 
     def _process_all(self) -> None:
@@ -197,16 +189,20 @@
 
     def _process_request(self, terms: RequestTerms, parts: tuple[bytes, ...]) -> None:
         """Start a request, queue it, or reject it."""
-        clients = self.clients
+        clients, driver = self.clients, self.clients.driver
         if parts[2] in clients.open_request_ids:
             raise MalformedMessageError("a request with this id is open")
-        if self.shutdown.rejects_requests or self.shutdown.give_to_successor:
+        if driver.recent_requests.may_not_run(driver.clock(), terms.kind, parts[1], parts[2]):
+            # A refusal would tell the client that trying again does no harm.
+            driver.metrics.failed[terms.kind] += 1
+            self._append_reply(FAILED)
+        elif self.shutdown.rejects_requests or self.shutdown.give_to_successor:
             self._reject_request(terms, busy_reply(0))
         elif clients.admission_queue.may_start():
             slot = ReplySlot(self, parts[2])
             clients.open_request_ids.add(parts[2])
             self.slots.append(slot)
-            slot.request = clients.driver.request_arrived(terms, parts, slot.answer)
+            slot.request = driver.request_arrived(terms, parts, slot.answer)
         elif len(self.slots) >= MAX_PIPELINED_COMMANDS:
             self._reject_request(terms, clients.admission_queue.rejection)
         else:
@@ -215,7 +211,7 @@
             clients.open_request_ids.add(parts[2])
             self.slots.append(slot)
             queue = clients.admission_queue
-            slot.waiting = queue.enqueue(terms, _class_and_plan(parts), parts[1], slot)
+            slot.waiting = queue.enqueue(terms, class_and_plan(parts), parts[1], slot)
 
     def _may_reject_more(self) -> bool:
         """Whether commands beyond the pipeline limit are read, to be rejected early."""
--- a/saffrongw/gateway/driver.py
+++ b/saffrongw/gateway/driver.py
@@ -41,6 +41,7 @@
 from .clock import Clock
 from .config import EndpointList
 from .metrics import Metrics
+from .recent_requests import RecentRequests
 from .request_types import (
     FAILED,
     US_PER_MS,
@@ -60,6 +61,11 @@
 # final reply must be sent this long before the timeout.
 REPLY_TRANSIT_US = 10 * US_PER_MS
 
+# After such an outcome of its attempt, the endpoint has not run the request.
+NEVER_RUN_OUTCOMES = frozenset(
+    {AttemptOutcome.OVERLOADED, AttemptOutcome.CONNECT_FAILED, AttemptOutcome.NOT_SENT}
+)
+
 
 def _request_id_of(event: Event) -> int:
     """Return the id of the request that an event concerns, or an unassigned id if none."""
@@ -84,6 +90,7 @@
         # Passes an event to the policy; a derived driver may wrap it.
         self.handle_by_policy: Callable[[int, Event], list[Action]] = self.gateway.handle
         self.metrics = Metrics(len(settings.classes))
+        self.recent_requests = RecentRequests(settings.classes)
         # Set by ``connect_upstream`` before ``start``.
         self.cluster: Upstream
         self.send_gossip: Callable[[int, bytes], None] = lambda _peer, _body: None
@@ -150,6 +157,7 @@
             for attempt in tuple(request.attempts):
                 if not attempt.is_ended and self.cluster.withdraw(attempt):
                     self.attempt_ended(attempt, AttemptOutcome.NOT_SENT)
+            self.recent_requests.request_ended(self.clock(), request)
 
     def attempt_ended(
         self,
@@ -170,6 +178,7 @@
         if attempt.timeout_timer:
             attempt.timeout_timer.cancel()
         request = attempt.request
+        request.has_possibly_run |= attempt.is_fully_sent and outcome not in NEVER_RUN_OUTCOMES
         if value is not None and not request.is_finished:
             self._send_final_reply(request, value)
         duration_us = self.clock() - attempt.sent_at_us
@@ -323,6 +332,7 @@
                 self.metrics.count_reply(request.event.kind, reply)
             else:
                 reply.count_in(self.metrics, request.event.kind)
+            self.recent_requests.request_ended(self.clock(), request)
             request.send_reply(reply)
 
     def _close_request(self, request: ClientRequest) -> None:
--- a/saffrongw/gateway/hot_restart/messages.py
+++ b/saffrongw/gateway/hot_restart/messages.py
@@ -17,6 +17,7 @@
 from ...policy import state_transfer
 from ...policy.events import EndpointEntry, EndpointId, EndpointState
 from ..config import Address, DiscoveredEndpoint
+from ..recent_requests import RememberedRequest
 
 log = logging.getLogger(__name__)
 
@@ -60,6 +61,8 @@
     EXCLUSION = "exclusion"
     # From either: an operator has started draining or ended it.
     QUIESCED = "quiesced"
+    # From the running process: requests that may have run. A version without it logs and skips it.
+    RECENT_REQUESTS = "recent"
 
 
 class MalformedMessageError(ValueError):
@@ -180,6 +183,21 @@
         return DiscoveredEndpoint(entry, (str(host), int(port)))
 
 
+def encode_remembered(remembered: RememberedRequest) -> list:
+    """Encode a request that may have run as a row."""
+    customer, request_id, time_left_us = remembered
+    return [encode_bytes(customer), encode_bytes(request_id), time_left_us]
+
+
+def decode_remembered(row: list) -> RememberedRequest:
+    """Decode a request of a row; raises ``MalformedMessageError`` if the row is malformed."""
+    with _decoding(MessageKind.RECENT_REQUESTS):
+        customer, request_id, time_left_us = row
+        return RememberedRequest(
+            str(customer).encode("latin-1"), str(request_id).encode("latin-1"), int(time_left_us)
+        )
+
+
 def pack_rows(rows: Iterable[list]) -> list[list[list]]:
     """Group rows so that each group fits a packet; a row that is too long is logged and omitted."""
     groups: list[list[list]] = []
--- a/saffrongw/gateway/hot_restart/predecessor.py
+++ b/saffrongw/gateway/hot_restart/predecessor.py
@@ -14,6 +14,7 @@
     MessageKind,
     encode_bytes,
     encode_endpoint,
+    encode_remembered,
     pack_rows,
 )
 from .parts import GatewayParts
@@ -119,9 +120,18 @@
         await clients.shutdown.drain(self.accept_period_s)
 
     async def _send_state(self, channel: HandOverChannel) -> bool:
-        """Send the policy's state, then ``GO``; return False if the successor is lost."""
-        for rows in pack_rows(state_transfer.export(self.parts.driver.gateway)):
-            channel.send(MessageKind.STATE_ROWS, rows)
+        """Send the state of policy and driver, then ``GO``; return False if the successor is lost.
+
+        The policy admits no request from the first row on, so all that may run is known then.
+        """
+        driver = self.parts.driver
+        state_rows = pack_rows(state_transfer.export(driver.gateway))
+        recent = driver.recent_requests.rows(driver.clock(), driver.requests.values())
+        recent_rows = pack_rows(encode_remembered(each) for each in recent)
+        messages = [(MessageKind.STATE_ROWS, rows) for rows in state_rows]
+        messages += [(MessageKind.RECENT_REQUESTS, rows) for rows in recent_rows]
+        for message in messages:
+            channel.send(*message)
             if len(channel.send_queue) >= MAX_UNSENT_PACKETS and not await channel.flush():
                 break
         if not channel.send(MessageKind.GO) or not channel.is_open:
--- a/saffrongw/gateway/hot_restart/successor.py
+++ b/saffrongw/gateway/hot_restart/successor.py
@@ -18,6 +18,7 @@
     decode_bytes,
     decode_endpoint,
     decode_length,
+    decode_remembered,
     decode_rows,
     decode_upstream,
 )
@@ -63,6 +64,7 @@
             MessageKind.SOCKETS: self._receive_sockets,
             MessageKind.ENDPOINTS: self._receive_endpoints,
             MessageKind.STATE_ROWS: self._receive_state_rows,
+            MessageKind.RECENT_REQUESTS: self._receive_recent_requests,
             MessageKind.GREETED: lambda _message, _sockets: self.greeted.set(),
             MessageKind.GO: lambda _message, _sockets: self.take_over.set(),
             MessageKind.REPLACED: self._receive_replaced,
@@ -162,6 +164,11 @@
         else:
             self.pending_state_rows += rows
 
+    def _receive_recent_requests(self, message: Message, _sockets: list[socket.socket]) -> None:
+        driver = self._require_parts().driver
+        for row in decode_rows(message):
+            driver.recent_requests.restore(driver.clock(), decode_remembered(row))
+
     def _receive_replaced(self, _message: Message, _sockets: list[socket.socket]) -> None:
         log.warning("hot_restart: replaced by another successor: action=end")
         self.is_replaced = True
--- a/saffrongw/gateway/request_parser.py
+++ b/saffrongw/gateway/request_parser.py
@@ -97,6 +97,17 @@
     )
 
 
+def class_and_plan(parts: tuple[bytes, ...]) -> bytes:
+    """Return ``CLASS,t=PLAN`` of a command in the form that ``RequestFormat.skim`` returns.
+
+    Empty if the terms are in another order.
+    """
+    words = parts[3].split(b",")
+    if len(words) > 2 and words[0].startswith(b"c="):
+        return words[0][2:] + b"," + words[1]
+    return b""
+
+
 def _split_terms(text: bytes) -> dict[bytes, bytes]:
     """Split ``NAME=VALUE,NAME=VALUE``."""
     pairs = [pair.split(b"=", 1) for pair in text.split(b",")]
--- a/saffrongw/gateway/request_types.py
+++ b/saffrongw/gateway/request_types.py
@@ -55,6 +55,13 @@
     attempts: list[UpstreamAttempt] = field(default_factory=list)
     deadline_timer: asyncio.TimerHandle | None = None
     is_finished: bool = False
+    # An attempt that has ended was sent completely, and its outcome does not say that it never ran.
+    has_possibly_run: bool = False
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an endpoint has run this request, may have, or may yet."""
+        return self.has_possibly_run or any(not attempt.is_ended for attempt in self.attempts)
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/gateway/test_hot_restart_messages.py
+++ b/tests/gateway/test_hot_restart_messages.py
@@ -10,6 +10,7 @@
 
 from saffrongw.gateway.hot_restart import messages
 from saffrongw.gateway.hot_restart.messages import MalformedMessageError, MessageKind
+from saffrongw.gateway.recent_requests import RememberedRequest
 from saffrongw.policy.events import EndpointEntry, EndpointState
 
 ENTRY = EndpointEntry(b"\xffa", EndpointState.DRAINING, 1, 2, 3, 0.5)
@@ -29,6 +30,7 @@
         "host",
         "exclusion",
         "quiesced",
+        "recent",
     ]
 
 
@@ -45,6 +47,21 @@
     assert (found.entry, found.address) == (ENTRY, ("10.0.0.1", 80))
 
 
+def test_a_request_that_may_have_run_is_a_row_in_a_fixed_order_and_comes_back():
+    remembered = RememberedRequest(b"0000000000000007", b"id-1", 5_000)
+    row = messages.encode_remembered(remembered)
+    assert row == ["0000000000000007", "id-1", 5_000]
+    assert messages.decode_remembered(json.loads(json.dumps(row))) == remembered
+
+
+@pytest.mark.parametrize(
+    "row", [[], ["a"], ["a", "b", "c"], ["a", "b", None], 5, ["\u1234", "b", 1]]
+)
+def test_a_malformed_row_of_a_request_that_may_have_run_is_named(row):
+    with pytest.raises(MalformedMessageError):
+        messages.decode_remembered(row)
+
+
 @given(st.binary(max_size=300))
 def test_bytes_of_a_partial_command_come_back(data):
     packet = messages.encode((MessageKind.PARTIAL_COMMAND, messages.encode_bytes(data)))
