Retries: a keyed request is not repeated at the host under which its connection broke

Cause: the hosts of a request's rack included the one whose connection had just broken; the repeat opened a new connection to its address.

Change: RetryPolicy.may_send leaves that host out for keyed requests that may have run.

--- a/saffrongw/policy/request_lifecycle.py
+++ b/saffrongw/policy/request_lifecycle.py
@@ -22,7 +22,13 @@
 from .decision_context import DecisionContext
 from .durations import MS_US
 from .endpoints import Endpoint, EndpointRegistry
-from .events import AdmissionCheckArrived, AttemptEnded, ClientDisconnected, RequestArrived
+from .events import (
+    AdmissionCheckArrived,
+    AttemptEnded,
+    AttemptOutcome,
+    ClientDisconnected,
+    RequestArrived,
+)
 from .load_balancer import BASE_LOAD, LoadBalancer
 from .outlier_detection import OutlierDetection
 from .peer_reachability import PeerReachability
@@ -204,6 +210,7 @@
         attempt = ended.attempt
         self._outlier_detection.record(attempt, ended.request.event.kind, event)
         attempt.may_have_run = event.outcome not in NEVER_RAN
+        attempt.connection_lost = event.outcome is AttemptOutcome.CONNECTION_LOST
         request = self.requests.get(event.request)
         if request is None:
             return
--- a/saffrongw/policy/request_state.py
+++ b/saffrongw/policy/request_state.py
@@ -27,6 +27,8 @@
     load_when_sent: float
     in_flight: bool = True
     may_have_run: bool = True
+    # The connection broke after the last byte: another process may have the address by now.
+    connection_lost: bool = False
 
 
 @dataclass(slots=True)
--- a/saffrongw/policy/retry_policy.py
+++ b/saffrongw/policy/retry_policy.py
@@ -73,6 +73,9 @@
         window_end_us = ran[0].sent_at_us + request_class.deduplication_window_us
         if self._context.now_us >= window_end_us - self._max_send_delay_us:
             return False
+        if any(each.connection_lost and each.endpoint is endpoint for each in ran):
+            # If the endpoint died, what answers at its address need not know the idempotency key.
+            return False
         scope = request_class.deduplication_scope
         return endpoint.deduplication_domain(scope) == ran[0].endpoint.deduplication_domain(scope)
 
--- a/tests/policy/test_retry_policy.py
+++ b/tests/policy/test_retry_policy.py
@@ -75,6 +75,36 @@
     assert final_answers(harness, 1) == [FailRequest(1)]
 
 
+@pytest.mark.parametrize("kind", [CELL_KIND, ZONE_KIND, ALL_KIND])
+def test_a_request_with_an_idempotency_key_is_not_retried_where_its_connection_broke(kind):
+    """Guards against a second run by the process that has taken over the address (issue 59, e)."""
+    harness = GatewayHarness(endpoints=0)
+    harness.handle(listed(entry(1)))
+    send = of_type(harness.send_request(1, kind=kind, left=900_000), SendAttempt)[0]
+    harness.now += 10_000
+    actions = harness.end_attempt(1, send.endpoint_id, AttemptOutcome.CONNECTION_LOST)
+    actions += harness.run(SECOND)
+    assert not of_type(actions, SendAttempt)
+
+
+@pytest.mark.parametrize("outcome", [AttemptOutcome.ERROR, AttemptOutcome.TIMED_OUT])
+def test_a_request_with_an_idempotency_key_is_retried_where_it_failed_otherwise(outcome):
+    harness = GatewayHarness(endpoints=0)
+    harness.handle(listed(entry(1)))
+    send = of_type(harness.send_request(1, kind=CELL_KIND, left=900_000), SendAttempt)[0]
+    harness.now += 10_000
+    assert of_type(harness.end_attempt(1, send.endpoint_id, outcome), SendAttempt)
+
+
+def test_a_repeatable_request_is_retried_where_its_connection_broke(harness):
+    harness = GatewayHarness(endpoints=0)
+    harness.handle(listed(entry(1)))
+    send = of_type(harness.send_request(1, kind=IDEMPOTENT_KIND), SendAttempt)[0]
+    harness.now += 10_000
+    actions = harness.end_attempt(1, send.endpoint_id, AttemptOutcome.CONNECTION_LOST)
+    assert of_type(actions, SendAttempt)
+
+
 def test_a_request_with_an_idempotency_key_is_not_retried_after_its_window(harness):
     send = of_type(harness.send_request(1, kind=ALL_KIND, left=4 * SECOND), SendAttempt)[0]
     harness.now += SECOND + 1
