Clients: a connection that sends more than its turns take has fewer commands in progress

Cause: its turns are shorter and come more often than its reads did, so up to 128 of its requests waited in the admission queue all the time, and others' expired behind them.

Change: 32 commands in progress instead of 128 for a connection whose turn ended with commands left, until a read fits into its turn.

--- a/saffrongw/gateway/downstream/connection.py
+++ b/saffrongw/gateway/downstream/connection.py
@@ -19,8 +19,10 @@
 # Commands of one connection that may wait for their replies; further ones stay unread.
 MAX_PIPELINED_COMMANDS = 128
 
-# What one connection may take of an iteration of the event loop, in units of the cheapest work: a
-# rejection without parsing.
+# The same while a connection sends more than its turns can take: others wait behind fewer.
+MAX_PIPELINED_IN_FLOOD = 32
+
+# A connection's share of an event loop iteration; the unit is a rejection without parsing.
 TURN_BUDGET = 2_048
 REJECTION_COST = 1
 COMMAND_COST = 16
@@ -42,16 +44,17 @@
         self.clients = clients
         self.shutdown = clients.shutdown
         self.reaper = clients.reaper
-        # Bytes that the predecessor process read from the connection and did not process.
+        # Bytes that the predecessor process read and did not process.
         self.initial_data = initial_data
         self.reader = CommandReader()
         self.slots: deque[ReplySlot] = deque()
         # The reply of the first slot, while it is streamed to the client.
         self.streaming: StreamingReply | None = None
-        # No more commands are processed; the connection closes after the pending replies.
+        # No more commands are processed; it closes after the pending replies.
         self.is_closing = False
         self.is_reading = True
         self.is_writable = True
+        self.pipeline_limit = MAX_PIPELINED_COMMANDS
         # Commands that have arrived wait for the next iteration of the event loop.
         self.is_turn_over = False
         # Set within ``process_commands``, which an immediate reply would reenter by ``flush``.
@@ -63,7 +66,7 @@
         self.transport = cast("asyncio.Transport", transport)
         self.clients.opened(self)
         data, self.initial_data = self.initial_data, b""
-        if data or self.shutdown.give_to_successor:
+        if data or self.shutdown.is_handing_over:
             self.data_received(data)
 
     # -- backpressure -----------------------------------------------------------------------------
@@ -88,7 +91,7 @@
         So no more than one read's worth of data is ever unprocessed.
         """
         is_reading = (
-            self.is_writable and not self.is_closing and len(self.slots) < MAX_PIPELINED_COMMANDS
+            self.is_writable and not self.is_closing and len(self.slots) < self.pipeline_limit
         )
         is_reading = is_reading and not self.is_turn_over and not self._leaves_commands()
         if is_reading is not self.is_reading and not self.transport.is_closing():
@@ -107,9 +110,14 @@
             return
         self.reader.feed(data)
         self.process_commands()
-        if len(data) >= FULL_READ_BYTES and not self.is_turn_over:
+        if self.is_turn_over:
+            return
+        if len(data) >= FULL_READ_BYTES:
             self._end_turn()
             self.update_reading()
+        elif self.pipeline_limit < MAX_PIPELINED_COMMANDS:
+            self.pipeline_limit = MAX_PIPELINED_COMMANDS
+            self.update_reading()
 
     def process_commands(self) -> None:
         """Process the complete commands, up to the pipeline limit and this turn's budget."""
@@ -127,7 +135,7 @@
         self.settle()
 
     def _end_turn(self) -> None:
-        """Leave the rest to the next turn: whoever sends most must not keep others waiting."""
+        """Leave the rest to the next turn, so that others are not kept waiting."""
         self.is_turn_over = True
         self.clients.loop.call_soon(self._begin_turn)
 
@@ -147,9 +155,10 @@
         while (
             not self.is_closing
             and len(reader)
-            and (len(slots) < MAX_PIPELINED_COMMANDS or self._may_reject_more())
+            and (len(slots) < self.pipeline_limit or self._may_reject_more())
         ):
             if budget <= 0:
+                self.pipeline_limit = MAX_PIPELINED_IN_FLOOD
                 self._end_turn()
                 break
             # A request that is certain to be rejected in this turn is not parsed, so that a flood
@@ -196,14 +205,14 @@
             # A refusal would tell the client that trying again does no harm.
             driver.metrics.failed[terms.kind] += 1
             self._append_reply(FAILED)
-        elif self.shutdown.rejects_requests or self.shutdown.give_to_successor:
+        elif self.shutdown.rejects_requests or self.shutdown.is_handing_over:
             self._reject_request(terms, busy_reply(0))
         elif clients.admission_queue.may_start():
             slot = ReplySlot(self, parts[2])
             clients.open_request_ids.add(parts[2])
             self.slots.append(slot)
             slot.request = driver.request_arrived(terms, parts, slot.answer)
-        elif len(self.slots) >= MAX_PIPELINED_COMMANDS:
+        elif len(self.slots) >= self.pipeline_limit:
             self._reject_request(terms, clients.admission_queue.rejection)
         else:
             slot = ReplySlot(self, parts[2])
@@ -217,10 +226,8 @@
         """Whether commands beyond the pipeline limit are read, to be rejected early."""
         last = self.slots[-1].reply
         pending_bytes = len(last) if isinstance(last, bytes) else 0
-        return (
-            self.clients.admission_queue.is_overloaded
-            and pending_bytes < MAX_PENDING_REJECTION_BYTES
-        )
+        has_room = pending_bytes < MAX_PENDING_REJECTION_BYTES
+        return has_room and self.clients.admission_queue.is_overloaded
 
     def _reject_request(self, terms: RequestTerms, reply: bytes) -> None:
         """Reject a parsed request without starting it."""
@@ -313,7 +320,7 @@
         if self.transport.is_closing():
             return
         if not self.slots:
-            if self.shutdown.give_to_successor and not self.is_closing and self._hand_over():
+            if self.shutdown.is_handing_over and not self.is_closing and self._hand_over():
                 return
             if self.is_closing or (self._closes_when_idle() and self._is_idle()):
                 self.reaper.restart_close_timeout(self)
@@ -330,21 +337,19 @@
         if self._leaves_commands():
             return True
         # In a drain, a client that has just connected is about to send a command.
-        is_handing_over = self.shutdown.give_to_successor is not None
-        is_expected_at_once = not is_handing_over and self.reaper.is_new(self)
+        is_expected_at_once = not self.shutdown.is_handing_over and self.reaper.is_new(self)
         return not is_expected_at_once and not socket_state.is_readable(self)
 
     def _closes_when_idle(self) -> bool:
         """Whether the gateway drains, or this connection can't be handed to its successor."""
-        is_handing_over = self.shutdown.give_to_successor is not None
-        return self.shutdown.is_draining or (is_handing_over and self._is_tls())
+        return self.shutdown.is_draining or (self.shutdown.is_handing_over and self._is_tls())
 
     def _leaves_commands(self) -> bool:
         """Whether data that is not processed yet is left to the process that gets the connection.
 
         That holds during a hand-over, but for TLS connections, which stay in this process.
         """
-        return self.shutdown.give_to_successor is not None and not self._is_tls()
+        return self.shutdown.is_handing_over and not self._is_tls()
 
     def _awaits_hand_over(self) -> bool:
         """Whether the successor gets this connection as soon as that is possible."""
--- a/saffrongw/gateway/downstream/graceful_shutdown.py
+++ b/saffrongw/gateway/downstream/graceful_shutdown.py
@@ -45,6 +45,11 @@
         # Replies that are not written by then are given up.
         self.ends_at_s = float("inf")
 
+    @property
+    def is_handing_over(self) -> bool:
+        """Whether connections are given to a successor, which serves from now on."""
+        return self.give_to_successor is not None
+
     def quiesce(self) -> None:
         """Start draining: connections close once idle; requests that arrive are still served."""
         self.is_draining = True
--- a/tests/gateway/test_turn_budget.py
+++ b/tests/gateway/test_turn_budget.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import hiredis
 import pytest
 from async_testing import asyncio_test, until
@@ -9,7 +11,14 @@
 from fake_endpoint import FakeEndpoint
 from loopback_rig import Rig
 
-from saffrongw.gateway.downstream.connection import COMMAND_COST, FULL_READ_BYTES, TURN_BUDGET
+from saffrongw.gateway import admission_queue
+from saffrongw.gateway.downstream.connection import (
+    COMMAND_COST,
+    FULL_READ_BYTES,
+    MAX_PIPELINED_COMMANDS,
+    MAX_PIPELINED_IN_FLOOD,
+    TURN_BUDGET,
+)
 
 PING = hiredis.pack_command((b"PING",))
 COMMANDS_PER_TURN = TURN_BUDGET // COMMAND_COST
@@ -92,3 +101,24 @@
     await until(lambda: caller.closed)
     # The predecessor has answered the others.
     assert len(caller.replies) + given[0].count(PING) == COUNT
+
+
+@asyncio_test
+async def test_connection_that_sends_more_than_its_turns_take_queues_fewer_requests(monkeypatch):
+    """Guards against others' requests that expire in the queue behind those of one connection."""
+    monkeypatch.setattr(admission_queue, "IMMEDIATE_START_BUDGET_S", -1)
+    monkeypatch.setattr(admission_queue, "QUEUE_RUN_BUDGET_S", 0)
+    rig, caller = await connected()
+    (connection,) = rig.clients.connections
+    # One queued request is started in each turn.
+    count = 200 * COMMANDS_PER_TURN
+    connection.data_received(b"".join(read_command(n, n) for n in range(count)))
+    fewest = MAX_PIPELINED_COMMANDS
+    while len(connection.reader):
+        await asyncio.sleep(0)
+        fewest = min(fewest, sum(slot.waiting is not None for slot in connection.slots))
+    assert fewest <= MAX_PIPELINED_IN_FLOOD
+    await caller.replied(count)
+    caller.ask(b"PING")
+    await caller.replied(count + 1)
+    assert connection.pipeline_limit == MAX_PIPELINED_COMMANDS
