Upstream: a reply's time limit runs from the last bytes that have arrived

Cause: the limit for the rest of a partial reply was set once, at its first bytes.

Change: it is set anew with each part. A reply that stops is given up as before, and the request's deadline ends the rest.

--- a/saffrongw/gateway/upstream/connection.py
+++ b/saffrongw/gateway/upstream/connection.py
@@ -23,7 +23,7 @@
 
 log = logging.getLogger(__name__)
 
-# Time for the rest of a reply that has arrived in part.
+# Time for more of a reply that has arrived in part.
 REPLY_REMAINDER_TIMEOUT_S = 0.5
 
 
@@ -135,10 +135,11 @@
         self.cluster.driver.attempt_ended(attempt, *decoded)
 
     def _await_remainder(self) -> None:
-        if self.remainder_timer is None:
-            self.remainder_timer = self.cluster.loop.call_later(
-                REPLY_REMAINDER_TIMEOUT_S, self._reply_malformed, "an answer did not end"
-            )
+        """Wait for more of a reply; an endpoint may write it slowly, within the request's time."""
+        self._stop_remainder_timer()
+        self.remainder_timer = self.cluster.loop.call_later(
+            REPLY_REMAINDER_TIMEOUT_S, self._reply_malformed, "an answer did not end"
+        )
 
     def _stop_remainder_timer(self) -> None:
         if self.remainder_timer:
