Long values: what a client takes from the kernel's buffers is progress

Cause: progress was what left the write buffer, but the kernel takes more only once a third of its megabytes is free, so a steady slow reader showed none for longer than the limits of 5 and 3 s.

Change: a change of the bytes that the client's machine has not acknowledged counts as progress, for values in service and for closing connections.

--- a/saffrongw/gateway/downstream/connection.py
+++ b/saffrongw/gateway/downstream/connection.py
@@ -310,6 +310,11 @@
         """How much of the replies waits for the client to read."""
         return self.transport.get_write_buffer_size()
 
+    @property
+    def undelivered_bytes(self) -> int:
+        """The same, with what the kernel holds until the client reads."""
+        return self.unwritten_bytes + socket_state.unacknowledged_bytes(self)
+
     @property
     def is_unfinished(self) -> bool:
         """Whether a reply is pending or not written completely, or a hand-over is due."""
@@ -375,8 +380,7 @@
     def eof_received(self) -> None:
         """End the requests: by the protocol, a client that stops sending has disconnected.
 
-        ``connection_lost`` would be too late: the loop calls it only after the write buffer is
-        empty, which never happens if the client reads nothing.
+        ``connection_lost`` follows only when the write buffer is empty, which it may never be.
         """
         self._end_requests()
 
--- a/saffrongw/gateway/downstream/idle_reaper.py
+++ b/saffrongw/gateway/downstream/idle_reaper.py
@@ -51,7 +51,7 @@
         self.idle: dict[ClientConnection, float] = {}
         self.closing: dict[ClientConnection, float] = {}
         # What the clients of the closing connections had not read at the last sweep.
-        self.unwritten_bytes: dict[ClientConnection, int] = {}
+        self.undelivered_bytes: dict[ClientConnection, int] = {}
 
     def start(self) -> None:
         """Start the periodic sweep."""
@@ -161,10 +161,10 @@
 
         The timeout of the others starts anew: a long value may take a client any time to read.
         """
-        previous = self.unwritten_bytes
-        self.unwritten_bytes = {each: each.unwritten_bytes for each in self.closing}
-        for connection, unwritten in self.unwritten_bytes.items():
-            if unwritten < previous.get(connection, 0):
+        previous = self.undelivered_bytes
+        self.undelivered_bytes = {each: each.undelivered_bytes for each in self.closing}
+        for connection, undelivered in self.undelivered_bytes.items():
+            if undelivered < previous.get(connection, 0):
                 del self.closing[connection]
                 self.closing[connection] = now_s
         for connection in _entered_by(self.closing, now_s - CLOSE_TIMEOUT_S):
--- a/saffrongw/gateway/downstream/socket_state.py
+++ b/saffrongw/gateway/downstream/socket_state.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import select
+import struct
+import termios
 from collections.abc import Iterable
+from fcntl import ioctl
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from .connection import ClientConnection
 
+_QUEUE_LENGTH = struct.Struct("i")
 _DISCONNECTED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -27,6 +31,13 @@
     return bool(_polled((connection,), select.POLLIN))
 
 
+def unacknowledged_bytes(connection: ClientConnection) -> int:
+    """Return how much the kernel has taken and the client's machine has not acknowledged."""
+    if connection.transport.is_closing() and descriptor(connection) < 0:
+        return 0
+    return _QUEUE_LENGTH.unpack(ioctl(descriptor(connection), termios.TIOCOUTQ, b"\0" * 4))[0]
+
+
 def has_unread_data(connection: ClientConnection) -> bool:
     """Whether data of a client that has not disconnected is unread in the socket."""
     return is_readable(connection) and not disconnected((connection,))
--- a/saffrongw/gateway/streaming_reply.py
+++ b/saffrongw/gateway/streaming_reply.py
@@ -38,6 +38,10 @@
     def transport(self) -> asyncio.Transport:
         """The open transport of the connection."""
 
+    @property
+    def undelivered_bytes(self) -> int:
+        """How much was written to the connection and has not reached the client's machine."""
+
     def streaming_ended(self, is_complete: bool) -> None:
         """Note that the reply was written completely, or that it broke off."""
 
@@ -58,6 +62,7 @@
         "sink",
         "source",
         "stall_timer",
+        "undelivered_bytes",
     )
 
     def __init__(self, loop: asyncio.AbstractEventLoop, source: Source, length: int) -> None:
@@ -75,6 +80,8 @@
         self.is_ended = False
         # Whether it progressed since ``_check_progress`` ran last.
         self.has_progressed = False
+        # What its client had not received then.
+        self.undelivered_bytes = 0
         self.stall_timer = loop.call_later(STALL_TIMEOUT_S, self._check_progress)
 
     @property
@@ -152,10 +159,20 @@
         if self.sink:
             self.sink.streaming_ended(self.is_complete)
 
+    def _has_been_read(self) -> bool:
+        """Whether the client has taken something out of the kernel's buffers since the last check.
+
+        They can hold so much that a client that reads steadily leaves the write buffer full.
+        """
+        if self.sink is None:
+            return False
+        before, self.undelivered_bytes = self.undelivered_bytes, self.sink.undelivered_bytes
+        return self.undelivered_bytes != before
+
     def _check_progress(self) -> None:
         """Abandon a value that does not progress, because it occupies connections and memory."""
         is_waiting_to_be_written = self.sink is None and self.is_complete
-        if self.has_progressed or is_waiting_to_be_written:
+        if self.has_progressed or is_waiting_to_be_written or self._has_been_read():
             self.has_progressed = False
             self.stall_timer = self.loop.call_later(STALL_TIMEOUT_S, self._check_progress)
         elif not self.is_ended:
