TLS: a close waits for clients that read on, as it does on plain connections

Cause: the TLS library drops what is not written within its limit for the close, 1 s. A drain did not see what lies in the buffer below the TLS layer either.

Change: the limit is 600 s, and the idle reaper ends a close without progress after 3 s as on plain connections, also that of an idle connection; a drain counts what a TLS client's machine has not acknowledged. Connections that validate a name keep 1 s.

--- a/saffrongw/certs/tls_listener.py
+++ b/saffrongw/certs/tls_listener.py
@@ -32,8 +32,11 @@
 
 # The TLS record type of alerts, and the alert level that ends the connection.
 ALERT_RECORD, FATAL_LEVEL = 21, 2
-# Seconds to wait for a client's close_notify when a connection is closed.
-SHUTDOWN_TIMEOUT_S = 1.0
+# Seconds for a client to read its last replies and to answer close_notify; the idle reaper aborts a
+# connection without progress much earlier.
+SHUTDOWN_TIMEOUT_S = 600.0
+# The same for an authority that validates a name, whose connection the reaper does not know.
+VALIDATION_SHUTDOWN_TIMEOUT_S = 1.0
 MAX_PEEK_BYTES = client_hello.MAX_HELLO_BYTES + 1_024
 TCP_ESTABLISHED = 1
 VERSIONS = {"1.2": ssl.TLSVersion.TLSv1_2, "1.3": ssl.TLSVersion.TLSv1_3}
@@ -331,13 +334,16 @@
         self, sock: socket.socket, context: ssl.SSLContext, protocol: asyncio.Protocol
     ) -> None:
         timeout_s = max(0.001, self.handshakes.remaining_us(self._now(), sock) / 1e6)
+        is_client = isinstance(protocol, ClientConnection)
         try:
             transport, _ = await self.loop.connect_accepted_socket(
                 lambda: protocol,
                 sock,
                 ssl=context,
                 ssl_handshake_timeout=timeout_s,
-                ssl_shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+                ssl_shutdown_timeout=(
+                    SHUTDOWN_TIMEOUT_S if is_client else VALIDATION_SHUTDOWN_TIMEOUT_S
+                ),
             )
         except (OSError, EOFError) as error:  # includes TLS errors and time-outs
             self.handshakes.ended(sock, "late" if _is_timeout(error) else "failed")
@@ -345,7 +351,7 @@
         else:
             tls = transport.get_extra_info("ssl_object")
             self.handshakes.succeeded(sock, bool(tls and tls.session_reused))
-            if not isinstance(protocol, ClientConnection):
+            if not is_client:
                 transport.close()  # the handshake has already proved the name
         self._advance()
 
--- a/saffrongw/gateway/downstream/connection.py
+++ b/saffrongw/gateway/downstream/connection.py
@@ -318,7 +318,9 @@
     @property
     def is_unfinished(self) -> bool:
         """Whether a reply is pending or not written completely, or a hand-over is due."""
-        return bool(self.slots) or self.unwritten_bytes > 0 or self._awaits_hand_over()
+        # Below a TLS connection there is another write buffer.
+        unwritten = self.undelivered_bytes if self._is_tls() else self.unwritten_bytes
+        return bool(self.slots) or unwritten > 0 or self._awaits_hand_over()
 
     def settle(self) -> None:
         """Hand the connection over, or close it, if that is due; classify it for the reaper."""
--- a/saffrongw/gateway/downstream/idle_reaper.py
+++ b/saffrongw/gateway/downstream/idle_reaper.py
@@ -143,7 +143,7 @@
             else:
                 # Without an error line: if a request is in transit, the client would take the line
                 # for its reply.
-                connection.transport.close()
+                self._close(connection)
 
     def _close_idle(self, now_s: float) -> None:
         """Close overdue idle connections, earlier where many are idle.
@@ -154,7 +154,12 @@
         for index, connection in enumerate(_entered_by(self.idle, now_s - MIN_IDLE_S)):
             is_overdue = index < surplus or self.idle[connection] <= now_s - MAX_IDLE_S
             if is_overdue and not socket_state.has_unread_data(connection):
-                connection.transport.close()
+                self._close(connection)
+
+    def _close(self, connection: ClientConnection) -> None:
+        """Close a connection; over TLS that takes until the client agrees, or ``_abort_unread``."""
+        connection.transport.close()
+        self.classify(connection)
 
     def _abort_unread(self, now_s: float) -> None:
         """Reset closing connections whose clients don't read their last replies.
