Requests: the clock is read only for an id that is remembered

Change: RecentRequests owns its clock and reads it when an id is found or remembered; the check for a hand-over stands where it is made for each read.

--- a/saffrongw/gateway/downstream/connection.py
+++ b/saffrongw/gateway/downstream/connection.py
@@ -93,7 +93,8 @@
         is_reading = (
             self.is_writable and not self.is_closing and len(self.slots) < self.pipeline_limit
         )
-        is_reading = is_reading and not self.is_turn_over and not self._leaves_commands()
+        is_reading = is_reading and not self.is_turn_over
+        is_reading = is_reading and (self.shutdown.give_to_successor is None or self._is_tls())
         if is_reading is not self.is_reading and not self.transport.is_closing():
             self.is_reading = is_reading
             self.clients.paused_reads.set_paused(self, not is_reading)
@@ -125,7 +126,7 @@
             return
         self.is_processing = True
         try:
-            if not self._leaves_commands():
+            if self.shutdown.give_to_successor is None or self._is_tls():
                 self._process_all()
         except MalformedMessageError as error:
             # What follows a malformed command can't be interpreted.
@@ -201,7 +202,7 @@
         clients, driver = self.clients, self.clients.driver
         if parts[2] in clients.open_request_ids:
             raise MalformedMessageError("a request with this id is open")
-        if driver.recent_requests.may_not_run(driver.clock(), terms.kind, parts[1], parts[2]):
+        if driver.recent_requests.may_not_run(terms.kind, parts[1], parts[2]):
             # A refusal would tell the client that trying again does no harm.
             driver.metrics.failed[terms.kind] += 1
             self._append_reply(FAILED)
@@ -327,7 +328,7 @@
         if self.transport.is_closing():
             return
         if not self.slots:
-            if self.shutdown.is_handing_over and not self.is_closing and self._hand_over():
+            if self.shutdown.give_to_successor and not self.is_closing and self._hand_over():
                 return
             if self.is_closing or (self._closes_when_idle() and self._is_idle()):
                 self.reaper.restart_close_timeout(self)
--- a/saffrongw/gateway/driver.py
+++ b/saffrongw/gateway/driver.py
@@ -90,7 +90,7 @@
         # Passes an event to the policy; a derived driver may wrap it.
         self.handle_by_policy: Callable[[int, Event], list[Action]] = self.gateway.handle
         self.metrics = Metrics(len(settings.classes))
-        self.recent_requests = RecentRequests(settings.classes)
+        self.recent_requests = RecentRequests(settings.classes, self.clock)
         # Set by ``connect_upstream`` before ``start``.
         self.cluster: Upstream
         self.send_gossip: Callable[[int, bytes], None] = lambda _peer, _body: None
@@ -157,7 +157,7 @@
             for attempt in tuple(request.attempts):
                 if not attempt.is_ended and self.cluster.withdraw(attempt):
                     self.attempt_ended(attempt, AttemptOutcome.NOT_SENT)
-            self.recent_requests.request_ended(self.clock(), request)
+            self.recent_requests.request_ended(request)
 
     def attempt_ended(
         self,
@@ -332,7 +332,7 @@
                 self.metrics.count_reply(request.event.kind, reply)
             else:
                 reply.count_in(self.metrics, request.event.kind)
-            self.recent_requests.request_ended(self.clock(), request)
+            self.recent_requests.request_ended(request)
             request.send_reply(reply)
 
     def _close_request(self, request: ClientRequest) -> None:
--- a/saffrongw/gateway/hot_restart/predecessor.py
+++ b/saffrongw/gateway/hot_restart/predecessor.py
@@ -126,7 +126,7 @@
         """
         driver = self.parts.driver
         state_rows = pack_rows(state_transfer.export(driver.gateway))
-        recent = driver.recent_requests.rows(driver.clock(), driver.requests.values())
+        recent = driver.recent_requests.rows(driver.requests.values())
         recent_rows = pack_rows(encode_remembered(each) for each in recent)
         messages = [(MessageKind.STATE_ROWS, rows) for rows in state_rows]
         messages += [(MessageKind.RECENT_REQUESTS, rows) for rows in recent_rows]
--- a/saffrongw/gateway/hot_restart/successor.py
+++ b/saffrongw/gateway/hot_restart/successor.py
@@ -165,9 +165,9 @@
             self.pending_state_rows += rows
 
     def _receive_recent_requests(self, message: Message, _sockets: list[socket.socket]) -> None:
-        driver = self._require_parts().driver
+        recent_requests = self._require_parts().driver.recent_requests
         for row in decode_rows(message):
-            driver.recent_requests.restore(driver.clock(), decode_remembered(row))
+            recent_requests.restore(decode_remembered(row))
 
     def _receive_replaced(self, _message: Message, _sockets: list[socket.socket]) -> None:
         log.warning("hot_restart: replaced by another successor: action=end")
--- a/saffrongw/gateway/recent_requests.py
+++ b/saffrongw/gateway/recent_requests.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
 
 from ..policy.settings import Idempotency, RequestClass
@@ -32,8 +32,9 @@
 class RecentRequests:
     """Remembers requests by customer and id, for a bounded time and number."""
 
-    def __init__(self, classes: tuple[RequestClass, ...]) -> None:
-        """Start empty; ``classes`` are those of the settings."""
+    def __init__(self, classes: tuple[RequestClass, ...], clock: Callable[[], int]) -> None:
+        """Start empty; ``classes`` are those of the settings, ``clock`` returns the time in us."""
+        self.clock = clock
         self.memory_us = REMEMBERED_DEADLINES * max(each.deadline_us for each in classes)
         self._unrepeatable = frozenset(
             kind
@@ -48,15 +49,16 @@
         """How many requests are remembered."""
         return len(self._forgotten_at_us)
 
-    def request_ended(self, now_us: int, request: ClientRequest) -> None:
+    def request_ended(self, request: ClientRequest) -> None:
         """Remember a request if it may have run and its class forbids running it again."""
         if request.event.kind in self._unrepeatable and request.may_have_run:
-            _, customer, request_id = request.parts[:3]
-            self._remember(customer, request_id, now_us + self.memory_us)
+            now_us = self.clock()
+            self._remember(request.parts[1], request.parts[2], now_us + self.memory_us)
             self._forget(now_us)
 
-    def restore(self, now_us: int, remembered: RememberedRequest) -> None:
+    def restore(self, remembered: RememberedRequest) -> None:
         """Remember a request of the predecessor process."""
+        now_us = self.clock()
         time_left_us = max(0, min(remembered.time_left_us, self.memory_us))
         self._remember(remembered.customer, remembered.request_id, now_us + time_left_us)
         self._forget(now_us)
@@ -66,16 +68,16 @@
         self._forgotten_at_us[key] = max(forgotten_at_us, self._forgotten_at_us.get(key, 0))
         self._forgotten_at_us.move_to_end(key)
 
-    def may_not_run(self, now_us: int, kind: int, customer: bytes, request_id: bytes) -> bool:
+    def may_not_run(self, kind: int, customer: bytes, request_id: bytes) -> bool:
         """Whether a request has come before, may have run, and may not run twice."""
         if kind not in self._unrepeatable:
             return False
-        return self._forgotten_at_us.get((customer, request_id), 0) > now_us
+        forgotten_at_us = self._forgotten_at_us.get((customer, request_id))
+        return forgotten_at_us is not None and forgotten_at_us > self.clock()
 
-    def rows(
-        self, now_us: int, open_requests: Iterable[ClientRequest]
-    ) -> Iterator[RememberedRequest]:
+    def rows(self, open_requests: Iterable[ClientRequest]) -> Iterator[RememberedRequest]:
         """Yield what the successor process has to remember, with the requests in flight here."""
+        now_us = self.clock()
         for (customer, request_id), forgotten_at_us in self._forgotten_at_us.items():
             if forgotten_at_us > now_us:
                 yield RememberedRequest(customer, request_id, forgotten_at_us - now_us)
