Metrics: memory, and reasons of closed connections, rejections and attempts' ends

Change: /admin/stats has the resident memory, the bytes held by partial commands, requests, replies and connections to hosts, and counts by reason; the log says when memory is over 0.75 of limits.memory_mb, which the program reads now (192 where it is missing), and when it is normal again.

--- a/saffrongw/gateway/admin_http/handlers.py
+++ b/saffrongw/gateway/admin_http/handlers.py
@@ -47,6 +47,7 @@
         # Calls of extensions, by path.
         self.extension_commands: Mapping[bytes, AdminCommand] = {}
         self.draining_listeners: tuple[Callable[[bool], None], ...] = ()
+        self.memory_rows: MetricLines = list
         # Exchanges calls with the other processes of a hot restart.
         self.relay = AdminRelay(self.apply_from_peer_process)
 
@@ -63,6 +64,7 @@
             len(gateway.endpoints.by_id),
             gateway.avoided(self.driver.clock()),
         )
+        rows += self.memory_rows()
         for extension_rows in self.extension_metrics:
             rows += extension_rows()
         return render(rows)
--- a/saffrongw/gateway/admission_queue.py
+++ b/saffrongw/gateway/admission_queue.py
@@ -15,6 +15,7 @@
 
 from ..policy.load_shedding import LoadShedder, QueuedRequest
 from .driver import Driver
+from .reasons import RejectionReason
 from .request_types import RequestTerms, busy_reply
 
 # For this long after the first request of an event loop iteration, requests are started as they are
@@ -31,7 +32,7 @@
     def start(self) -> None:
         """Start the request."""
 
-    def reject(self, reply: bytes) -> None:
+    def reject(self, reply: bytes, reason: RejectionReason = RejectionReason.OVERLOAD) -> None:
         """Reject the request with this reply."""
 
 
@@ -104,7 +105,7 @@
         rejection = busy_reply(0)
         for queued in self.shedder.clear():
             pending = cast("PendingRequest", queued.tag)
-            pending.reject(rejection)
+            pending.reject(rejection, RejectionReason.SHUTDOWN)
 
     def _update_rejection(self, now_us: int) -> bytes:
         """Return the reply to a request shed now; it was never sent on, so a retry is harmless."""
--- a/saffrongw/gateway/bootstrap.py
+++ b/saffrongw/gateway/bootstrap.py
@@ -14,7 +14,7 @@
 
 import uvloop
 
-from . import signals
+from . import memory_usage, signals
 from .admin_http.handlers import AdminHandlers
 from .admin_http.server import AdminServer
 from .config import Config
@@ -29,6 +29,7 @@
 from .hot_restart.predecessor import PredecessorHandOver
 from .hot_restart.successor import SuccessorHandOver
 from .logging_setup import configure_logging
+from .memory_usage import BufferedBytes, MemoryWatch
 from .upstream.cluster import UpstreamCluster
 
 # How long new connections are still accepted after SIGTERM.
@@ -90,6 +91,7 @@
     if config.admin:
         admin_server.listen(config.admin)
     parts = GatewayParts(driver, cluster, clients, admin)
+    _watch_memory(config, parts)
     runtime = Runtime(config, extensions, parts, successor, stop_requested)
     if await _must_serve(runtime):
         await _serve_until_stopped(runtime)
@@ -188,6 +190,22 @@
     return admin
 
 
+def _watch_memory(config: Config, parts: GatewayParts) -> None:
+    """Report memory in the metrics, and log when the process comes close to its limit."""
+    driver, cluster, clients, admin = parts
+
+    def buffered() -> BufferedBytes:
+        return BufferedBytes(
+            client_input=clients.held_input_bytes,
+            requests=driver.held_request_bytes,
+            replies=clients.held_reply_bytes,
+            upstream=cluster.held_bytes,
+        )
+
+    admin.memory_rows = lambda: memory_usage.rows(buffered())
+    MemoryWatch(driver.loop, config.memory_bytes, buffered).start()
+
+
 async def _must_serve(runtime: Runtime) -> bool:
     """Wait for a running process to hand over, if any; return whether this process must serve."""
     successor = runtime.successor
--- a/saffrongw/gateway/config.py
+++ b/saffrongw/gateway/config.py
@@ -25,6 +25,9 @@
 }
 US_PER_MS = 1_000
 US_PER_S = 1e6
+BYTES_PER_MB = 1 << 20
+# Where the configuration has no limit: the smallest installation.
+DEFAULT_MEMORY_MB = 192
 MAX_TIME_US = (1 << 63) - 1
 PORT_COUNT = 65_536
 
@@ -86,6 +89,7 @@
     admin: Address | None
     seed: int
     sockets: int
+    memory_bytes: int
     peer_listen: Address | None
     peers: tuple[Address, ...]
     known: EndpointList
@@ -220,6 +224,14 @@
         return int(raw["limits"]["sockets"])
 
 
+def _memory_bytes(raw: dict[str, Any]) -> int:
+    with _parsing_key("limits.memory_mb"):
+        memory_mb = float(raw["limits"].get("memory_mb", DEFAULT_MEMORY_MB))
+        if not 0 < memory_mb < float("inf"):
+            raise ConfigError("", "must be a positive number")
+        return int(memory_mb * BYTES_PER_MB)
+
+
 def _peers(peers: Iterable[str]) -> tuple[Address, ...]:
     with _parsing_key("peers"):
         return tuple(parse_address(peer) for peer in peers)
@@ -256,6 +268,7 @@
         admin=_optional_address(raw, "admin"),
         seed=_seed(raw),
         sockets=_sockets(raw),
+        memory_bytes=_memory_bytes(raw),
         peer_listen=_optional_address(raw, "peer_listen") if peers else None,
         peers=_peers(peers),
         known=_known_endpoints(raw, zones),
--- a/saffrongw/gateway/downstream/connection.py
+++ b/saffrongw/gateway/downstream/connection.py
@@ -6,6 +6,7 @@
 from collections import deque
 from typing import TYPE_CHECKING, cast
 
+from ..reasons import CloseReason, RejectionReason
 from ..request_parser import class_and_plan, parse_request
 from ..request_types import FAILED, RequestTerms, busy_reply
 from ..resp import CommandReader, MalformedMessageError
@@ -60,6 +61,8 @@
         # Set within ``process_commands``, which an immediate reply would reenter by ``flush``.
         self.is_processing = False
         self.is_flush_scheduled = False
+        # Set when the gateway decides to close the connection.
+        self.close_reason: CloseReason | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and process its initial data; in a hand-over, pass it on."""
@@ -130,7 +133,7 @@
                 self._process_all()
         except MalformedMessageError as error:
             # What follows a malformed command can't be interpreted.
-            self.close_with_error(str(error))
+            self.close_with_error(str(error), CloseReason.MALFORMED_COMMAND)
         self.is_processing = False
         self.update_reading()
         self.settle()
@@ -207,14 +210,15 @@
             driver.metrics.failed[terms.kind] += 1
             self._append_reply(FAILED)
         elif self.shutdown.rejects_requests or self.shutdown.is_handing_over:
-            self._reject_request(terms, busy_reply(0))
+            self._reject_request(terms, busy_reply(0), RejectionReason.SHUTDOWN)
         elif clients.admission_queue.may_start():
             slot = ReplySlot(self, parts[2])
             clients.open_request_ids.add(parts[2])
             self.slots.append(slot)
             slot.request = driver.request_arrived(terms, parts, slot.answer)
         elif len(self.slots) >= self.pipeline_limit:
-            self._reject_request(terms, clients.admission_queue.rejection)
+            rejection = clients.admission_queue.rejection
+            self._reject_request(terms, rejection, RejectionReason.OVERLOAD)
         else:
             slot = ReplySlot(self, parts[2])
             slot.terms, slot.parts = terms, parts
@@ -230,9 +234,9 @@
         has_room = pending_bytes < MAX_PENDING_REJECTION_BYTES
         return has_room and self.clients.admission_queue.is_overloaded
 
-    def _reject_request(self, terms: RequestTerms, reply: bytes) -> None:
+    def _reject_request(self, terms: RequestTerms, reply: bytes, reason: RejectionReason) -> None:
         """Reject a parsed request without starting it."""
-        self.clients.driver.metrics.busy[terms.kind] += 1
+        self.clients.driver.metrics.count_rejection(terms.kind, reason)
         self._append_rejections(reply, 1)
 
     # -- replies ----------------------------------------------------------------------------------
@@ -250,11 +254,12 @@
         self.slots.append(slot)
         slot.answer(reply)
 
-    def close_with_error(self, reason: str) -> None:
+    def close_with_error(self, error: str, reason: CloseReason) -> None:
         """Stop reading; after the pending replies, write an error line and close."""
         if not self.is_closing:
             self.is_closing = True
-            self._append_reply(b"-ERR %b\r\n" % reason.encode())
+            self.close_reason = reason
+            self._append_reply(b"-ERR %b\r\n" % error.encode())
 
     def schedule_flush(self) -> None:
         """Write replies at the end of this turn of the loop."""
@@ -301,9 +306,14 @@
         else:
             self._end_requests()
             # Not ``abort``: replies that are still in the write buffer must reach the client.
-            self.transport.close()
+            self.close(CloseReason.INCOMPLETE_REPLY)
             self.reaper.classify(self)
 
+    @property
+    def held_reply_bytes(self) -> int:
+        """How much of the replies this process holds until the client reads them."""
+        return sum(slot.held_reply_bytes for slot in self.slots) + self.unwritten_bytes
+
     # -- closing ----------------------------------------------------------------------------------
 
     @property
@@ -332,9 +342,19 @@
                 return
             if self.is_closing or (self._closes_when_idle() and self._is_idle()):
                 self.reaper.restart_close_timeout(self)
-                self.transport.close()
+                self.close(CloseReason.DRAINED)
         self.reaper.classify(self)
 
+    def close(self, reason: CloseReason) -> None:
+        """Close once the client has read its replies; the first reason given is counted."""
+        self.close_reason = self.close_reason or reason
+        self.transport.close()
+
+    def abort(self, reason: CloseReason) -> None:
+        """Close at once, whatever is unread; the first reason given is counted."""
+        self.close_reason = self.close_reason or reason
+        self.transport.abort()
+
     def _is_idle(self) -> bool:
         """Whether no command has partly arrived, lies unread, or is expected at once.
 
@@ -375,6 +395,7 @@
         unprocessed = self.reader.data[self.reader.position :]
         if give is None or not give(socket_state.descriptor(self), unprocessed):
             return False
+        self.close_reason = CloseReason.HANDED_OVER
         self.clients.lost(self)
         # Only this process's descriptor is closed.
         self.transport.abort()
--- a/saffrongw/gateway/downstream/idle_reaper.py
+++ b/saffrongw/gateway/downstream/idle_reaper.py
@@ -5,6 +5,7 @@
 from itertools import chain, islice
 from typing import TYPE_CHECKING
 
+from ..reasons import CloseReason
 from . import socket_state
 
 if TYPE_CHECKING:
@@ -111,7 +112,7 @@
         victim = next((each for each in candidates if self._may_be_evicted(each)), None)
         if victim is None:
             return False
-        victim.transport.abort()
+        victim.abort(CloseReason.EVICTED)
         self.clients.lost(victim)
         return True
 
@@ -138,12 +139,14 @@
             if socket_state.has_unread_data(connection):
                 continue
             if len(connection.reader):
-                connection.close_with_error("a command was not whole in time")
+                connection.close_with_error(
+                    "a command was not whole in time", CloseReason.COMMAND_TIMEOUT
+                )
                 connection.settle()
             else:
                 # Without an error line: if a request is in transit, the client would take the line
                 # for its reply.
-                self._close(connection)
+                self._close(connection, CloseReason.COMMAND_TIMEOUT)
 
     def _close_idle(self, now_s: float) -> None:
         """Close overdue idle connections, earlier where many are idle.
@@ -154,11 +157,11 @@
         for index, connection in enumerate(_entered_by(self.idle, now_s - MIN_IDLE_S)):
             is_overdue = index < surplus or self.idle[connection] <= now_s - MAX_IDLE_S
             if is_overdue and not socket_state.has_unread_data(connection):
-                self._close(connection)
+                self._close(connection, CloseReason.IDLE)
 
-    def _close(self, connection: ClientConnection) -> None:
+    def _close(self, connection: ClientConnection, reason: CloseReason) -> None:
         """Close a connection; over TLS that takes until the client agrees, or ``_abort_unread``."""
-        connection.transport.close()
+        connection.close(reason)
         self.classify(connection)
 
     def _abort_unread(self, now_s: float) -> None:
@@ -174,7 +177,7 @@
                 self.closing[connection] = now_s
         for connection in _entered_by(self.closing, now_s - CLOSE_TIMEOUT_S):
             if not connection.slots:
-                connection.transport.abort()
+                connection.abort(CloseReason.UNREAD_REPLIES)
 
 
 def _entered_by(group: dict[ClientConnection, float], time_s: float) -> list[ClientConnection]:
--- a/saffrongw/gateway/downstream/listener.py
+++ b/saffrongw/gateway/downstream/listener.py
@@ -9,6 +9,7 @@
 from ..admission_queue import AdmissionQueue
 from ..config import Config
 from ..driver import Driver
+from ..reasons import CloseReason, RejectionReason
 from ..request_parser import RequestFormat
 from .connection import ClientConnection
 from .graceful_shutdown import GracefulShutdown
@@ -115,6 +116,16 @@
         """The number of connections, of all listeners, that are accepted but not open yet."""
         return self.acceptor.opening + sum(listener.opening for listener in self.listeners)
 
+    @property
+    def held_input_bytes(self) -> int:
+        """How much was received from clients and is not processed yet."""
+        return sum(len(connection.reader) for connection in self.connections)
+
+    @property
+    def held_reply_bytes(self) -> int:
+        """How much of the replies waits for clients to read it."""
+        return sum(connection.held_reply_bytes for connection in self.connections)
+
     def ensure_capacity(self) -> bool:
         """Return whether one more connection may be accepted; at the limit, try to evict one."""
         if len(self.connections) + self.opening < self.max_connections:
@@ -128,7 +139,10 @@
         self.reaper.opened(connection)
 
     def lost(self, connection: ClientConnection) -> None:
-        """Remove a connection that is closed or handed over."""
+        """Remove a connection that is closed or handed over; a second call changes nothing."""
+        if connection in self.connections:
+            reason = connection.close_reason or CloseReason.CLIENT_LEFT
+            self.driver.metrics.closed[reason] += 1
         self.connections.discard(connection)
         self.paused_reads.remove(connection)
         self.reaper.remove(connection)
@@ -137,4 +151,4 @@
         """Count a request of this ``CLASS,t=PLAN`` that was rejected before it was parsed."""
         kind = self.config.classes.get(class_and_plan.partition(b",")[0])
         if kind is not None:
-            self.driver.metrics.busy[kind] += 1
+            self.driver.metrics.count_rejection(kind, RejectionReason.OVERLOAD)
--- a/saffrongw/gateway/downstream/reply_slot.py
+++ b/saffrongw/gateway/downstream/reply_slot.py
@@ -5,7 +5,9 @@
 from typing import TYPE_CHECKING
 
 from ...policy.load_shedding import QueuedRequest
+from ..reasons import RejectionReason
 from ..request_types import US_PER_MS, ClientRequest, FinalReply, RequestTerms
+from ..streaming_reply import StreamingReply
 
 if TYPE_CHECKING:
     from .connection import ClientConnection
@@ -32,6 +34,13 @@
         # While it is in the admission queue.
         self.waiting: QueuedRequest | None = None
 
+    @property
+    def held_reply_bytes(self) -> int:
+        """How much of the reply waits to be written."""
+        if isinstance(self.reply, StreamingReply):
+            return self.reply.held_bytes
+        return len(self.reply or b"")
+
     def start(self) -> None:
         """Start the queued request; its timeout is reduced by the time that it waited."""
         waiting, self.waiting = self.waiting, None
@@ -42,7 +51,7 @@
         terms = self.terms._replace(timeout_us=timeout_us)
         self.request = driver.request_arrived(terms, self.parts, self.answer)
 
-    def reject(self, reply: bytes) -> None:
+    def reject(self, reply: bytes, reason: RejectionReason = RejectionReason.OVERLOAD) -> None:
         """Reject the queued request.
 
         The reply is written at the end of the turn: the queue may reject this request while the
@@ -51,7 +60,7 @@
         self.reply = reply
         self.waiting = None
         clients = self.connection.clients
-        clients.driver.metrics.busy[self.terms.kind] += 1
+        clients.driver.metrics.count_rejection(self.terms.kind, reason)
         clients.open_request_ids.discard(self.request_id)
         self.connection.schedule_flush()
 
--- a/saffrongw/gateway/driver.py
+++ b/saffrongw/gateway/driver.py
@@ -41,6 +41,7 @@
 from .clock import Clock
 from .config import EndpointList
 from .metrics import Metrics
+from .reasons import RejectionReason
 from .recent_requests import RecentRequests
 from .request_types import (
     FAILED,
@@ -175,6 +176,7 @@
         if attempt.is_ended:
             return
         attempt.is_ended = True
+        self.metrics.outcomes[outcome] += 1
         if attempt.timeout_timer:
             attempt.timeout_timer.cancel()
         request = attempt.request
@@ -212,6 +214,11 @@
         for attempt in unstartable:
             self.attempt_ended(attempt, AttemptOutcome.CONNECT_FAILED)
 
+    @property
+    def held_request_bytes(self) -> int:
+        """The length of the requests that have no final reply, or an attempt in flight."""
+        return sum(len(part) for each in self.requests.values() for part in each.parts)
+
     def exclusion_changed(self, event: ExclusionChanged) -> None:
         """Apply an operator's exclusion of an endpoint, or the end of an exclusion."""
         self.feed(event)
@@ -295,6 +302,7 @@
 
     def _reject_request(self, action: RejectRequest) -> None:
         if request := self.requests.get(action.request):
+            self.metrics.rejected[RejectionReason.POLICY] += 1
             self._send_final_reply(request, busy_reply(action.retry_after_us))
 
     def _fail_request(self, action: FailRequest) -> None:
--- a/saffrongw/gateway/metrics.py
+++ b/saffrongw/gateway/metrics.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Sequence
 
+from ..policy.events import AttemptOutcome
+from .reasons import CloseReason, RejectionReason
+
 # Prefix of all metric names; operators' tools expect it.
 NAME_PREFIX = "svc"
 
@@ -11,9 +15,22 @@
 
 
 class Metrics:
-    """Counts of final replies by request class, of attempts sent completely, and of reloads."""
+    """Counts of replies, attempts and reloads, and of closed connections and rejections by reason.
+
+    Final replies are counted by request class; ``attempts`` are those that were sent completely.
+    """
 
-    __slots__ = ("attempts", "busy", "failed", "reloads", "reloads_failed", "served")
+    __slots__ = (
+        "attempts",
+        "busy",
+        "closed",
+        "failed",
+        "outcomes",
+        "rejected",
+        "reloads",
+        "reloads_failed",
+        "served",
+    )
 
     def __init__(self, class_count: int) -> None:
         """Start with all counts at 0."""
@@ -21,6 +38,9 @@
         self.busy = [0] * class_count
         self.failed = [0] * class_count
         self.attempts = 0
+        self.outcomes: Counter[AttemptOutcome] = Counter()
+        self.closed: Counter[CloseReason] = Counter()
+        self.rejected: Counter[RejectionReason] = Counter()
         self.reloads = 0
         self.reloads_failed = 0
 
@@ -33,6 +53,11 @@
         else:
             self.failed[kind] += 1
 
+    def count_rejection(self, kind: int, reason: RejectionReason) -> None:
+        """Count a request of a class that was rejected before the policy saw it."""
+        self.busy[kind] += 1
+        self.rejected[reason] += 1
+
     def rows(
         self, class_names: Sequence[str], inflight: int, hosts_listed: int, hosts_down: int
     ) -> list[MetricRow]:
@@ -50,6 +75,9 @@
             ("hosts_down", hosts_down),
             ("reconfig_ok", self.reloads),
             ("reconfig_failed", self.reloads_failed),
+            *((f"attempt_{each.name.lower()}", self.outcomes[each]) for each in AttemptOutcome),
+            *((f"client_closed_{each.value}", self.closed[each]) for each in CloseReason),
+            *((f"rejected_{each.value}", self.rejected[each]) for each in RejectionReason),
         ]
 
 
--- a/saffrongw/gateway/streaming_reply.py
+++ b/saffrongw/gateway/streaming_reply.py
@@ -84,6 +84,11 @@
         self.undelivered_bytes = 0
         self.stall_timer = loop.call_later(STALL_TIMEOUT_S, self._check_progress)
 
+    @property
+    def held_bytes(self) -> int:
+        """How many bytes of it wait to be written to the client's connection."""
+        return sum(map(len, self.buffered))
+
     @property
     def is_final_reply(self) -> bool:
         """Whether it is the final reply of a request."""
@@ -107,7 +112,7 @@
             self.sink.transport.write(data)
         else:
             self.buffered.append(data)
-            if sum(map(len, self.buffered)) >= MAX_BUFFERED_BYTES:
+            if self.held_bytes >= MAX_BUFFERED_BYTES:
                 self.source.set_paused(True)
 
     def finish(self) -> None:
--- a/saffrongw/gateway/upstream/cluster.py
+++ b/saffrongw/gateway/upstream/cluster.py
@@ -147,6 +147,13 @@
 
     # -- connections ------------------------------------------------------------------------------
 
+    @property
+    def held_bytes(self) -> int:
+        """What the connections with an attempt in flight hold of requests and replies."""
+        attempts = (each for request in self.driver.requests.values() for each in request.attempts)
+        carriers = (each.carrier for each in attempts if not each.is_ended)
+        return sum(each.held_bytes for each in carriers if isinstance(each, UpstreamConnection))
+
     def ensure_capacity(self) -> bool:
         """Whether one more connection may be opened; at the limit, the longest idle is closed."""
         if self.open_connections >= self.max_connections:
--- a/saffrongw/gateway/upstream/connection.py
+++ b/saffrongw/gateway/upstream/connection.py
@@ -218,6 +218,11 @@
 
     # -- closing ----------------------------------------------------------------------------------
 
+    @property
+    def held_bytes(self) -> int:
+        """How much of an attempt is not written, and how much of a reply has arrived in part."""
+        return self.transport.get_write_buffer_size() + len(self.reader)
+
     @property
     def is_reusable(self) -> bool:
         """Whether the connection is read, and nothing is left of an attempt, a reply or a value."""
