Connections: reads are bounded, and writing pauses as soon as the socket takes no more

Cause: the loop reads up to 256,000 bytes at a time. Each connection held a whole read that it could not process; and of a value that a client reads slowly, uvloop keeps the whole read of which a part is unwritten, several deep: 53 MB unwritten by the metrics were 151 MB of the process.

One literal of test_streaming_reply.py is now one read long, so that the state that it asserts, a value complete while its client has not read it, can come up.

--- a/saffrongw/certs/tls_listener.py
+++ b/saffrongw/certs/tls_listener.py
@@ -331,7 +331,7 @@
         task.add_done_callback(self.tasks.discard)
 
     async def _handshake(
-        self, sock: socket.socket, context: ssl.SSLContext, protocol: asyncio.Protocol
+        self, sock: socket.socket, context: ssl.SSLContext, protocol: asyncio.BaseProtocol
     ) -> None:
         timeout_s = max(0.001, self.handshakes.remaining_us(self._now(), sock) / 1e6)
         is_client = isinstance(protocol, ClientConnection)
--- a/saffrongw/gateway/acceptor.py
+++ b/saffrongw/gateway/acceptor.py
@@ -25,7 +25,7 @@
         loop: asyncio.AbstractEventLoop,
         listener: socket.socket,
         ensure_capacity: Callable[[], bool],
-        make_protocol: Callable[[], asyncio.Protocol],
+        make_protocol: Callable[[], asyncio.BaseProtocol],
     ) -> None:
         """Take over a listening socket; nothing is accepted before ``start``."""
         listener.setblocking(False)
@@ -35,7 +35,7 @@
         self.make_protocol = make_protocol
         self.tasks: set[asyncio.Task[None]] = set()
         # Accepted connections whose ``connection_made`` has not been called yet.
-        self.opening_protocols: set[asyncio.Protocol] = set()
+        self.opening_protocols: set[asyncio.BaseProtocol] = set()
         self.is_running = False
 
     @property
@@ -43,7 +43,7 @@
         """The number of connections that are accepted but not open yet."""
         return len(self.opening_protocols)
 
-    def opened(self, protocol: asyncio.Protocol) -> None:
+    def opened(self, protocol: asyncio.BaseProtocol) -> None:
         """Note that a connection is open; its owner counts it from now on."""
         self.opening_protocols.discard(protocol)
 
@@ -85,14 +85,14 @@
                 sock.close()
         return True
 
-    def adopt(self, sock: socket.socket, protocol: asyncio.Protocol) -> None:
+    def adopt(self, sock: socket.socket, protocol: asyncio.BaseProtocol) -> None:
         """Open a protocol on a connection that is already established."""
         self.opening_protocols.add(protocol)
         task = self.loop.create_task(self._open(sock, protocol))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def _open(self, sock: socket.socket, protocol: asyncio.Protocol) -> None:
+    async def _open(self, sock: socket.socket, protocol: asyncio.BaseProtocol) -> None:
         try:
             await self.loop.connect_accepted_socket(lambda: protocol, sock)
         except OSError:
--- a/saffrongw/gateway/downstream/connection.py
+++ b/saffrongw/gateway/downstream/connection.py
@@ -6,6 +6,7 @@
 from collections import deque
 from typing import TYPE_CHECKING, cast
 
+from ..bounded_reads import READ_BYTES, BoundedReadProtocol
 from ..reasons import CloseReason, RejectionReason
 from ..request_parser import class_and_plan, parse_request
 from ..request_types import FAILED, RequestTerms, busy_reply
@@ -28,20 +29,25 @@
 REJECTION_COST = 1
 COMMAND_COST = 16
 # After a read of this size there may be more unread, which the loop would read at once.
-FULL_READ_BYTES = 64 * 1024
+FULL_READ_BYTES = READ_BYTES
+
+# Unwritten bytes beyond which writing is paused. A TLS handshake leaves session tickets unwritten.
+WRITE_HIGH_WATER_BYTES = 0
+TLS_WRITE_HIGH_WATER_BYTES = 16 * 1024
 
 # In an overload a connection at the pipeline limit is still read, to reject its commands early,
 # until this many bytes of rejections wait behind its pending replies.
 MAX_PENDING_REJECTION_BYTES = 64 * 1024
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(BoundedReadProtocol):
     """A client connection that awaits a command, has requests in flight, is idle, or is closing."""
 
     transport: asyncio.Transport
 
     def __init__(self, clients: ClientConnections, initial_data: bytes = b"") -> None:
         """Prepare for a connection that is not open yet."""
+        super().__init__(clients.read_buffer)
         self.clients = clients
         self.shutdown = clients.shutdown
         self.reaper = clients.reaper
@@ -65,8 +71,14 @@
         self.close_reason: CloseReason | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Register the connection and process its initial data; in a hand-over, pass it on."""
+        """Register the connection and process its initial data; in a hand-over, pass it on.
+
+        Writing is paused as soon as the socket takes no more.
+        """
         self.transport = cast("asyncio.Transport", transport)
+        is_tls = self._is_tls()
+        high_water = TLS_WRITE_HIGH_WATER_BYTES if is_tls else WRITE_HIGH_WATER_BYTES
+        self.transport.set_write_buffer_limits(high=high_water)
         self.clients.opened(self)
         data, self.initial_data = self.initial_data, b""
         if data or self.shutdown.is_handing_over:
--- a/saffrongw/gateway/downstream/listener.py
+++ b/saffrongw/gateway/downstream/listener.py
@@ -7,6 +7,7 @@
 
 from ..acceptor import Acceptor
 from ..admission_queue import AdmissionQueue
+from ..bounded_reads import make_read_buffer
 from ..config import Config
 from ..driver import Driver
 from ..reasons import CloseReason, RejectionReason
@@ -52,6 +53,7 @@
         self.request_format = RequestFormat(config)
         self.admission_queue = AdmissionQueue(driver, driver.loop)
         driver.is_overloaded = lambda: self.admission_queue.is_overloaded
+        self.read_buffer = make_read_buffer()
         self.connections: set[ClientConnection] = set()
         # The ids, given by clients, of the requests without a final reply.
         self.open_request_ids: set[bytes | None] = set()
--- a/saffrongw/gateway/streaming_reply.py
+++ b/saffrongw/gateway/streaming_reply.py
@@ -1,7 +1,7 @@
 """A long value that is streamed from an endpoint to a client, with backpressure from the client.
 
 Such values are not buffered completely, because memory could not hold all that may be in transit at
-once. Of each, at most one read from its endpoint and the client transport's write buffer are held.
+once. Of each, at most one read from its endpoint is held that the client's socket does not take.
 While earlier replies on the client's connection are pending, only ``MAX_BUFFERED_BYTES`` or one
 more read are taken from the endpoint. Bytes that were written can't be taken back: if the endpoint
 breaks off, the client's connection is closed, so that the client notices the incomplete value.
@@ -14,7 +14,7 @@
 
 from .metrics import Metrics
 
-# Reading from the endpoint pauses once this many bytes wait to be written to the client.
+# Reading from the endpoint pauses once this many bytes wait for earlier replies.
 MAX_BUFFERED_BYTES = 64 * 1024
 
 # A value is abandoned after this time without progress at the endpoint or the client.
@@ -131,7 +131,7 @@
         sink.transport.write(b"".join((self.header, *buffered, end)))
         if self.is_complete:
             self._end()
-        elif sink.transport.get_write_buffer_size() < MAX_BUFFERED_BYTES:
+        elif not sink.transport.get_write_buffer_size():
             self.source.set_paused(False)
 
     def set_paused(self, paused: bool) -> None:
--- a/saffrongw/gateway/upstream/cluster.py
+++ b/saffrongw/gateway/upstream/cluster.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from ...policy.events import AttemptOutcome, EndpointId, EndpointState
+from ..bounded_reads import make_read_buffer
 from ..config import DiscoveredEndpoint, EndpointList
 from ..driver import Driver
 from ..request_types import UpstreamAttempt
@@ -49,6 +50,7 @@
         self.idle_timeout_s = IDLE_TIMEOUT_SHARE * endpoint_idle_limit_s
         # Counts the connections that are open or being opened.
         self.open_connections = 0
+        self.read_buffer = make_read_buffer()
         self.closing: set[UpstreamConnection] = set()
         self.pools: dict[EndpointId, ConnectionPool] = {}
         # Set while connections are handed over.
--- a/saffrongw/gateway/upstream/connection.py
+++ b/saffrongw/gateway/upstream/connection.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING, cast
 
 from ...policy.events import AttemptOutcome
+from ..bounded_reads import BoundedReadProtocol
 from ..request_types import UpstreamAttempt
 from ..resp import MalformedMessageError, ReplyReader
 from ..streaming_reply import StreamingReply
@@ -27,13 +28,14 @@
 REPLY_REMAINDER_TIMEOUT_S = 0.5
 
 
-class UpstreamConnection(asyncio.Protocol):
+class UpstreamConnection(BoundedReadProtocol):
     """One connection to an endpoint: idle, or with one attempt on it."""
 
     transport: asyncio.Transport
 
     def __init__(self, pool: ConnectionPool, is_adopted: bool = False) -> None:
         """Prepare for a connection that is not open yet, or adopted from the predecessor."""
+        super().__init__(pool.cluster.read_buffer)
         self.pool = pool
         self.is_adopted = is_adopted
         self.cluster = pool.cluster
--- /dev/null
+++ b/tests/gateway/test_bounded_reads.py
@@ -0,0 +1,42 @@
+"""Connections read in small pieces, and hold no more than one of them that they can't pass on."""
+
+from __future__ import annotations
+
+from async_testing import asyncio_test, until
+from client_rig import SmallBufferClient
+from fake_endpoint import FakeEndpoint, value
+from loopback_rig import Rig
+
+from saffrongw.gateway.bounded_reads import READ_BYTES
+
+LONG = b"x" * 1_000_000
+
+
+@asyncio_test
+async def test_clients_and_endpoints_are_read_in_bounded_pieces():
+    rig = Rig(await FakeEndpoint("a").listen())
+    caller = await rig.caller()
+    await until(lambda: rig.clients.connections)
+    (connection,) = rig.clients.connections
+    sizes = []
+    receive = connection.data_received
+    connection.data_received = lambda data: (sizes.append(len(data)), receive(data))
+    caller.transport.write(b"*1\r\n$4\r\nPING\r\n" * 10_000)
+    await caller.replied(10_000)
+    assert max(sizes) == READ_BYTES
+
+
+@asyncio_test
+async def test_one_piece_is_held_of_a_value_whose_client_reads_nothing():
+    endpoint = FakeEndpoint("a")
+    endpoint.script = lambda command: value(LONG)
+    rig = Rig(await endpoint.listen())
+    await rig.listen()
+    client = await SmallBufferClient.connect(rig)
+    client.call(b"long")
+    (connection,) = rig.clients.connections
+    await until(lambda: connection.streaming and not connection.is_writable)
+    assert connection.held_reply_bytes <= READ_BYTES
+    received = await client.receive(len(LONG) + len(b"$1000000\r\n\r\n"))
+    assert received == b"$1000000\r\n" + LONG + b"\r\n"
+    client.sock.close()
--- a/tests/gateway/test_streaming_reply.py
+++ b/tests/gateway/test_streaming_reply.py
@@ -12,6 +12,7 @@
 from loopback_rig import Rig
 
 from saffrongw.gateway import streaming_reply
+from saffrongw.gateway.bounded_reads import READ_BYTES
 from saffrongw.gateway.resp import (
     MAX_STREAMED_VALUE_BYTES,
     MAX_VALUE_BYTES,
@@ -142,6 +143,10 @@
     await assert_all_connections_answer(rig, endpoint, caller)
 
 
+# Read in one piece with what follows the value, and more than the small kernel buffers take.
+LAST_BYTES = READ_BYTES - 1_000
+
+
 @asyncio_test
 async def test_connection_is_read_again_after_a_client_that_did_not_read_the_end_of_its_value():
     """The next request on the connection was never answered: it went back to its pool unread."""
@@ -154,11 +159,11 @@
     client.transport.set_write_buffer_limits(high=0)
     answer = value(LONG)
     (upstream,) = endpoint.connections
-    upstream.transport.write(answer[:-40_000])
-    received = await late.receive(len(LONG) - 40_000)
+    upstream.transport.write(answer[:-LAST_BYTES])
+    received = await late.receive(len(LONG) - LAST_BYTES)
     await until(lambda: not client.transport.get_write_buffer_size())
     # The client does not read these bytes, the end of the value among them.
-    upstream.transport.write(answer[-40_000:])
+    upstream.transport.write(answer[-LAST_BYTES:])
     await until(lambda: client.streaming is None)
     assert client.transport.get_write_buffer_size()
     await assert_all_connections_answer(rig, endpoint, other)
