Commands: a large body is collected at its final size, and consumed input is freed

Cause: each piece was appended by copying the whole into a new, longer object, so that the heap filled with holes; a reader kept its last data, all consumed, until the next read; and the reader of a connection that was closed with an error kept its partial command until it was reset.

Change: once a header tells the length of a large body, a buffer of that size takes its pieces (PartialBody); consumed data is freed after each turn, and all of it when the connection closes.

--- a/saffrongw/gateway/downstream/connection.py
+++ b/saffrongw/gateway/downstream/connection.py
@@ -146,6 +146,7 @@
         except MalformedMessageError as error:
             # What follows a malformed command can't be interpreted.
             self.close_with_error(str(error), CloseReason.MALFORMED_COMMAND)
+        self.reader.release_consumed()
         self.is_processing = False
         self.update_reading()
         self.settle()
@@ -271,6 +272,7 @@
         if not self.is_closing:
             self.is_closing = True
             self.close_reason = reason
+            self.reader.clear()
             self._append_reply(b"-ERR %b\r\n" % error.encode())
 
     def schedule_flush(self) -> None:
@@ -404,8 +406,7 @@
         if self.unwritten_bytes or self._is_tls():
             return False
         give = self.shutdown.give_to_successor
-        unprocessed = self.reader.data[self.reader.position :]
-        if give is None or not give(socket_state.descriptor(self), unprocessed):
+        if give is None or not give(socket_state.descriptor(self), self.reader.unprocessed()):
             return False
         self.close_reason = CloseReason.HANDED_OVER
         self.clients.lost(self)
@@ -427,6 +428,7 @@
 
     def _end_requests(self) -> None:
         self.is_closing = True
+        self.reader.clear()
         slots, self.slots = self.slots, deque()
         clients = self.clients
         for slot in slots:
--- a/saffrongw/gateway/resp.py
+++ b/saffrongw/gateway/resp.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable
 from typing import NamedTuple
 
 # Longest value that is buffered completely.
@@ -24,6 +25,9 @@
 # Parts of a command; only the fifth one may be as long as a value.
 MAX_COMMAND_WORDS = 5
 
+# A body of at least this size that arrives in pieces is collected at its final size.
+MIN_COLLECTED_BODY_BYTES = 4 * 1024
+
 # Longest header that the patterns below accept.
 MAX_HEADER_BYTES = 10
 
@@ -94,13 +98,107 @@
         return (self.data[body:end], end + 2) if len(terminator) == 2 else None
 
 
+class PartialBody:
+    """The body of a command, while it arrives in pieces; collected, or only counted."""
+
+    __slots__ = ("collected", "head", "last_bytes", "length", "received_bytes", "words")
+
+    def __init__(self, head: bytes, words: list[bytes], length: int, is_kept: bool) -> None:
+        """Start a body of ``length`` bytes after ``head``, the bytes of the words before it."""
+        self.head = head
+        self.words = words
+        self.length = length
+        self.received_bytes = 0
+        # Of its final size from the start: growing buffers would fragment the heap.
+        self.collected = bytearray(length + 2) if is_kept else None
+        self.last_bytes = b""
+
+    @property
+    def missing_bytes(self) -> int:
+        """How much of the body and its terminator has not arrived."""
+        return self.length + 2 - self.received_bytes
+
+    def feed(self, data: bytes) -> bytes:
+        """Take what belongs to the body, and return the rest."""
+        part = data[: self.missing_bytes]
+        end = self.received_bytes + len(part)
+        if self.collected is not None:
+            self.collected[self.received_bytes : end] = part
+        self.last_bytes = (self.last_bytes + part[-2:])[-2:]
+        self.received_bytes = end
+        return data[len(part) :]
+
+    def command(self) -> list[bytes]:
+        """Return the words of the complete command; its body is empty if it was not kept."""
+        if self.last_bytes != b"\r\n":
+            raise MalformedMessageError("a length does not fit")
+        body = b"" if self.collected is None else bytes(memoryview(self.collected)[: self.length])
+        return [*self.words, body]
+
+    def received(self) -> bytes:
+        """Return the bytes of the command that have arrived, if its body is kept."""
+        return self.head + bytes(memoryview(self.collected or b"")[: self.received_bytes])
+
+
 class CommandReader(_Buffer):
-    """Reads commands as clients send them: arrays of up to five bulk strings."""
+    """Reads commands as clients send them: arrays of up to five bulk strings.
 
-    __slots__ = ()
+    ``may_keep_body`` is asked, with its length, once for each large body that arrives in pieces; a
+    body that may not be kept is read and dropped, so that the next command is found.
+    """
+
+    __slots__ = ("body", "is_body_dropped", "may_keep_body")
+
+    def __init__(self, may_keep_body: Callable[[int], bool] = lambda _length: True) -> None:
+        """Start without data."""
+        super().__init__()
+        self.may_keep_body = may_keep_body
+        self.body: PartialBody | None = None
+        # Whether the body of the command that was returned last was dropped.
+        self.is_body_dropped = False
+
+    def feed(self, data: bytes) -> None:
+        """Append bytes, and discard those that are consumed."""
+        super().feed(self.body.feed(data) if self.body else data)
+
+    def __len__(self) -> int:
+        """How many bytes have arrived and are not processed."""
+        collected = len(self.body.head) + self.body.received_bytes if self.body else 0
+        return super().__len__() + collected
+
+    @property
+    def is_dropping(self) -> bool:
+        """Whether the body that arrives is dropped."""
+        return self.body is not None and self.body.collected is None
+
+    def unprocessed(self) -> bytes:
+        """Return what has arrived and is not processed; not while a body is dropped."""
+        return (self.body.received() if self.body else b"") + self.data[self.position :]
+
+    def release_consumed(self) -> None:
+        """Free the memory of what is consumed."""
+        if self.position and self.position == len(self.data):
+            self.data, self.position = b"", 0
+
+    def clear(self) -> None:
+        """Free what has arrived: nothing more is read from the connection."""
+        self.data, self.position, self.body = b"", 0, None
 
     def next(self) -> list[bytes] | None:
         """Return the next command; None if it is not complete yet."""
+        if self.body is None:
+            command = self._next_complete()
+            if command is not None or self.body is None:
+                self.is_body_dropped = False
+                return command
+        if self.body.missing_bytes:
+            return None
+        body, self.body = self.body, None
+        self.is_body_dropped = body.collected is None
+        return body.command()
+
+    def _next_complete(self) -> list[bytes] | None:
+        """Return the next command if it is complete; a large body begins to be collected."""
         header = self._header(_COUNT, _COUNT_PREFIX, self.position)
         if header is None:
             return None
@@ -110,9 +208,11 @@
         words: list[bytes] = []
         position = header.end()
         for number in range(1, count + 1):
-            limit = MAX_VALUE_BYTES if number == MAX_COMMAND_WORDS else MAX_WORD_BYTES
-            bulk = self._bulk(position, limit)
+            is_body = number == MAX_COMMAND_WORDS
+            bulk = self._bulk(position, MAX_VALUE_BYTES if is_body else MAX_WORD_BYTES)
             if bulk is None:
+                if is_body:
+                    self._begin_body(position, words)
                 return None
             word, position = bulk
             # Never None: null is not accepted here.
@@ -120,6 +220,15 @@
         self.position = position
         return words
 
+    def _begin_body(self, position: int, words: list[bytes]) -> None:
+        """Collect a large body whose header is at this position, if the header is complete."""
+        header = _LENGTH.match(self.data, position)
+        if header is None or (length := int(header[1])) < MIN_COLLECTED_BODY_BYTES:
+            return
+        head, rest = self.data[self.position : header.end()], self.data[header.end() :]
+        self.body = PartialBody(head, words, length, self.may_keep_body(length))
+        self.data, self.position = self.body.feed(rest), 0
+
 
 class Reply(NamedTuple):
     """An endpoint's reply: a line, or a value with a load report."""
