Requests in flight: memory is reserved for body and reply, within limits.memory_mb

Cause: each connection had its own limit, in commands (128) and not in bytes, and nothing bounded the sum over connections; limits.memory_mb was never read.

Change: InFlightMemory: a request is started or queued only when its body and what its reply may hold (ReplySizes) are reserved; a reply holds its part until the socket has taken it. Behind other requests on its connection a request waits unread while half is in use; else it is rejected with -BUSY. A large body that finds no room is read and dropped, and its request is rejected.

--- a/saffrongw/gateway/downstream/connection.py
+++ b/saffrongw/gateway/downstream/connection.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, cast
 
 from ..bounded_reads import READ_BYTES, BoundedReadProtocol
+from ..in_flight_memory import STREAM_BYTES
 from ..reasons import CloseReason, RejectionReason
 from ..request_parser import class_and_plan, parse_request
 from ..request_types import FAILED, RequestTerms, busy_reply
@@ -28,6 +29,9 @@
 TURN_BUDGET = 2_048
 REJECTION_COST = 1
 COMMAND_COST = 16
+# Index of the body among a request's parts, which end before it if there is none.
+BODY_PART = 5
+
 # After a read of this size there may be more unread, which the loop would read at once.
 FULL_READ_BYTES = READ_BYTES
 
@@ -53,7 +57,12 @@
         self.reaper = clients.reaper
         # Bytes that the predecessor process read and did not process.
         self.initial_data = initial_data
-        self.reader = CommandReader()
+        self.reader = CommandReader(self._may_keep_body)
+        self.memory = clients.in_flight_memory
+        # Reserved for the command that arrives or is processed, until it has a slot.
+        self.body_reserved_bytes = 0
+        # Reserved for replies that the socket has not taken completely.
+        self.unwritten_reserved_bytes = 0
         self.slots: deque[ReplySlot] = deque()
         # The reply of the first slot, while it is streamed to the client.
         self.streaming: StreamingReply | None = None
@@ -96,6 +105,7 @@
     def resume_writing(self) -> None:
         """Read again, as the client has read its replies."""
         self.is_writable = True
+        self._release_unwritten()
         self.update_reading()
         if self.streaming:
             self.streaming.set_paused(False)
@@ -105,11 +115,8 @@
 
         So no more than one read's worth of data is ever unprocessed.
         """
-        is_reading = (
-            self.is_writable and not self.is_closing and len(self.slots) < self.pipeline_limit
-        )
-        is_reading = is_reading and not self.is_turn_over
-        is_reading = is_reading and (self.shutdown.give_to_successor is None or self._is_tls())
+        is_reading = self.is_writable and not self.is_closing and not self.is_turn_over
+        is_reading = is_reading and self._may_start_more() and not self._leaves_commands()
         if is_reading is not self.is_reading and not self.transport.is_closing():
             self.is_reading = is_reading
             self.clients.paused_reads.set_paused(self, not is_reading)
@@ -141,7 +148,7 @@
             return
         self.is_processing = True
         try:
-            if self.shutdown.give_to_successor is None or self._is_tls():
+            if not self._leaves_commands():
                 self._process_all()
         except MalformedMessageError as error:
             # What follows a malformed command can't be interpreted.
@@ -165,14 +172,14 @@
             self.process_commands()
 
     def _process_all(self) -> None:
-        clients, reader, slots = self.clients, self.reader, self.slots
+        clients, reader = self.clients, self.reader
         queue, request_format = clients.admission_queue, clients.request_format
         saturated, shed_count = queue.saturated, 0
         budget = TURN_BUDGET
         while (
             not self.is_closing
             and len(reader)
-            and (len(slots) < self.pipeline_limit or self._may_reject_more())
+            and (self._may_start_more() or self._may_reject_more())
         ):
             if budget <= 0:
                 self.pipeline_limit = MAX_PIPELINED_IN_FLOOD
@@ -207,13 +214,16 @@
     def _process_command(self, command: list[bytes]) -> None:
         """Process a command that ``RequestFormat.read`` does not recognise."""
         if command[0] in (b"CALL.GET", b"CALL.POST"):
-            self._process_request(*parse_request(command, self.clients.config))
+            terms, parts = parse_request(command, self.clients.config)
+            self._process_request(terms, parts, self.reader.is_body_dropped)
         elif len(command) == 1 and command[0].upper() == b"PING":
             self._append_reply(b"-ERR draining\r\n" if self._closes_when_idle() else b"+PONG\r\n")
         else:
             raise MalformedMessageError("unknown command")
 
-    def _process_request(self, terms: RequestTerms, parts: tuple[bytes, ...]) -> None:
+    def _process_request(
+        self, terms: RequestTerms, parts: tuple[bytes, ...], is_body_dropped: bool = False
+    ) -> None:
         """Start a request, queue it, or reject it."""
         clients, driver = self.clients, self.clients.driver
         if parts[2] in clients.open_request_ids:
@@ -224,21 +234,71 @@
             self._append_reply(FAILED)
         elif self.shutdown.rejects_requests or self.shutdown.is_handing_over:
             self._reject_request(terms, busy_reply(0), RejectionReason.SHUTDOWN)
+        elif is_body_dropped or not self._reserve(terms.kind, parts):
+            rejection = clients.admission_queue.rejection
+            self._reject_request(terms, rejection, RejectionReason.MEMORY)
         elif clients.admission_queue.may_start():
-            slot = ReplySlot(self, parts[2])
-            clients.open_request_ids.add(parts[2])
-            self.slots.append(slot)
+            slot = self._append_request(terms.kind, parts)
             slot.request = driver.request_arrived(terms, parts, slot.answer)
         elif len(self.slots) >= self.pipeline_limit:
             rejection = clients.admission_queue.rejection
             self._reject_request(terms, rejection, RejectionReason.OVERLOAD)
         else:
-            slot = ReplySlot(self, parts[2])
+            slot = self._append_request(terms.kind, parts)
             slot.terms, slot.parts = terms, parts
-            clients.open_request_ids.add(parts[2])
-            self.slots.append(slot)
             queue = clients.admission_queue
             slot.waiting = queue.enqueue(terms, class_and_plan(parts), parts[1], slot)
+        self._release_body()
+
+    def _append_request(self, kind: int, parts: tuple[bytes, ...]) -> ReplySlot:
+        """Append the slot of a request that is started or queued; it gets what is reserved."""
+        slot = ReplySlot(self, parts[2], kind, self.body_reserved_bytes)
+        self.body_reserved_bytes = 0
+        self.clients.open_request_ids.add(parts[2])
+        self.slots.append(slot)
+        return slot
+
+    # -- memory -----------------------------------------------------------------------------------
+
+    def _may_start_more(self) -> bool:
+        """Whether the connection may have one more command in progress."""
+        slots = self.slots
+        return not slots or (len(slots) < self.pipeline_limit and self.memory.allows_greedy)
+
+    def _may_keep_body(self, length: int) -> bool:
+        """Reserve memory for a large body that arrives in pieces, if there is room."""
+        if not self.memory.allows_greedy or not self.memory.try_reserve(length):
+            return False
+        self.body_reserved_bytes = length
+        return True
+
+    def _reserve(self, kind: int, parts: tuple[bytes, ...]) -> bool:
+        """Reserve memory for a request's body, if that is not done yet, and for its reply."""
+        needed_bytes = self.clients.reply_sizes.expected_bytes(kind)
+        if not self.body_reserved_bytes and len(parts) > BODY_PART:
+            needed_bytes += len(parts[BODY_PART])
+        if not self.memory.try_reserve(needed_bytes):
+            return False
+        self.body_reserved_bytes += needed_bytes
+        return True
+
+    def _release_body(self) -> None:
+        """Give back what is reserved for a command that did not get a slot."""
+        reserved_bytes, self.body_reserved_bytes = self.body_reserved_bytes, 0
+        self.memory.release(reserved_bytes)
+
+    def _release_unwritten(self) -> None:
+        """Give back what is reserved for replies that the socket has taken by now."""
+        reserved_bytes, self.unwritten_reserved_bytes = self.unwritten_reserved_bytes, 0
+        self.memory.release(reserved_bytes)
+
+    def _release_slot(self, slot: ReplySlot) -> None:
+        """Give back what is reserved for a reply that was written, once the socket has taken it."""
+        reserved_bytes, slot.reserved_bytes = slot.reserved_bytes, 0
+        if self.is_writable:
+            self.memory.release(reserved_bytes)
+        else:
+            self.unwritten_reserved_bytes += reserved_bytes
 
     def _may_reject_more(self) -> bool:
         """Whether commands beyond the pipeline limit are read, to be rejected early."""
@@ -272,7 +332,7 @@
         if not self.is_closing:
             self.is_closing = True
             self.close_reason = reason
-            self.reader.clear()
+            self._clear_input()
             self._append_reply(b"-ERR %b\r\n" % error.encode())
 
     def schedule_flush(self) -> None:
@@ -289,12 +349,14 @@
             if isinstance(reply, StreamingReply):
                 self._start_streaming(slots[0], reply)
                 continue
-            slots.popleft()
+            written = [slots.popleft()]
             replies = [reply]
             while slots and isinstance(following := slots[0].reply, bytes):
-                slots.popleft()
+                written.append(slots.popleft())
                 replies.append(following)
             self.transport.write(b"".join(replies) if len(replies) > 1 else reply)
+            for slot in written:
+                self._release_slot(slot)
         if not self.is_processing:
             self.process_commands()
 
@@ -306,6 +368,7 @@
             slot.reply = FAILED
         else:
             self.streaming = reply
+            slot.reduce_reservation(STREAM_BYTES)
             reply.attach(self)
 
     def streaming_ended(self, is_complete: bool) -> None:
@@ -314,7 +377,9 @@
         If it broke off, close the connection: only that shows the client that it is incomplete.
         """
         self.streaming = None
-        self.clients.open_request_ids.discard(self.slots.popleft().request_id)
+        slot = self.slots.popleft()
+        self.clients.open_request_ids.discard(slot.request_id)
+        self._release_slot(slot)
         if is_complete:
             self.schedule_flush()
         else:
@@ -389,9 +454,11 @@
     def _leaves_commands(self) -> bool:
         """Whether data that is not processed yet is left to the process that gets the connection.
 
-        That holds during a hand-over, but for TLS connections, which stay in this process.
+        That holds during a hand-over, but for connections that can't leave this process.
         """
-        return self.shutdown.is_handing_over and not self._is_tls()
+        is_handing_over = self.shutdown.is_handing_over
+        # A command whose body is dropped can't be given to the successor: it is rejected here.
+        return is_handing_over and not self._is_tls() and not self.reader.is_dropping
 
     def _awaits_hand_over(self) -> bool:
         """Whether the successor gets this connection as soon as that is possible."""
@@ -402,8 +469,7 @@
 
     def _hand_over(self) -> bool:
         """Give the connection, and unprocessed data, to the successor; return whether it worked."""
-        # The state of a TLS connection can't leave this process.
-        if self.unwritten_bytes or self._is_tls():
+        if self.unwritten_bytes or not self._leaves_commands():
             return False
         give = self.shutdown.give_to_successor
         if give is None or not give(socket_state.descriptor(self), self.reader.unprocessed()):
@@ -425,13 +491,20 @@
         """End the requests of the client, which has disconnected."""
         self.clients.lost(self)
         self._end_requests()
+        self._release_unwritten()
+
+    def _clear_input(self) -> None:
+        """Free what has arrived: no more commands are processed."""
+        self.reader.clear()
+        self._release_body()
 
     def _end_requests(self) -> None:
         self.is_closing = True
-        self.reader.clear()
+        self._clear_input()
         slots, self.slots = self.slots, deque()
         clients = self.clients
         for slot in slots:
+            slot.reduce_reservation(0)
             if slot.reply is None or isinstance(slot.reply, StreamingReply):
                 clients.open_request_ids.discard(slot.request_id)
             if isinstance(slot.reply, StreamingReply):
--- a/saffrongw/gateway/downstream/listener.py
+++ b/saffrongw/gateway/downstream/listener.py
@@ -10,6 +10,7 @@
 from ..bounded_reads import make_read_buffer
 from ..config import Config
 from ..driver import Driver
+from ..in_flight_memory import InFlightMemory, ReplySizes
 from ..reasons import CloseReason, RejectionReason
 from ..request_parser import RequestFormat
 from .connection import ClientConnection
@@ -53,6 +54,8 @@
         self.request_format = RequestFormat(config)
         self.admission_queue = AdmissionQueue(driver, driver.loop)
         driver.is_overloaded = lambda: self.admission_queue.is_overloaded
+        self.in_flight_memory = InFlightMemory(config.memory_bytes)
+        self.reply_sizes = ReplySizes(len(config.settings.classes))
         self.read_buffer = make_read_buffer()
         self.connections: set[ClientConnection] = set()
         # The ids, given by clients, of the requests without a final reply.
--- a/saffrongw/gateway/downstream/reply_slot.py
+++ b/saffrongw/gateway/downstream/reply_slot.py
@@ -5,8 +5,9 @@
 from typing import TYPE_CHECKING
 
 from ...policy.load_shedding import QueuedRequest
+from ..in_flight_memory import MAX_REPLY_BYTES
 from ..reasons import RejectionReason
-from ..request_types import US_PER_MS, ClientRequest, FinalReply, RequestTerms
+from ..request_types import SERVED_PREFIX, US_PER_MS, ClientRequest, FinalReply, RequestTerms
 from ..streaming_reply import StreamingReply
 
 if TYPE_CHECKING:
@@ -19,16 +20,34 @@
     It is the ``PendingRequest`` of the admission queue while its request is queued.
     """
 
-    __slots__ = ("connection", "parts", "reply", "request", "request_id", "terms", "waiting")
+    __slots__ = (
+        "connection",
+        "kind",
+        "parts",
+        "reply",
+        "request",
+        "request_id",
+        "reserved_bytes",
+        "terms",
+        "waiting",
+    )
 
     # Set only for a request that is queued.
     terms: RequestTerms
     parts: tuple[bytes, ...]
 
-    def __init__(self, connection: ClientConnection, request_id: bytes | None = None) -> None:
-        """Make an empty slot; only a request has an id."""
+    def __init__(
+        self,
+        connection: ClientConnection,
+        request_id: bytes | None = None,
+        kind: int = 0,
+        reserved_bytes: int = 0,
+    ) -> None:
+        """Make an empty slot; only a request has an id, a class and reserved memory."""
         self.connection = connection
         self.request_id = request_id
+        self.kind = kind
+        self.reserved_bytes = reserved_bytes
         self.reply: FinalReply | None = None
         self.request: ClientRequest | None = None
         # While it is in the admission queue.
@@ -51,6 +70,13 @@
         terms = self.terms._replace(timeout_us=timeout_us)
         self.request = driver.request_arrived(terms, self.parts, self.answer)
 
+    def reduce_reservation(self, needed_bytes: int) -> None:
+        """Give back the memory that is reserved beyond what is still needed."""
+        surplus = self.reserved_bytes - needed_bytes
+        if surplus > 0:
+            self.reserved_bytes = needed_bytes
+            self.connection.clients.in_flight_memory.release(surplus)
+
     def reject(self, reply: bytes, reason: RejectionReason = RejectionReason.OVERLOAD) -> None:
         """Reject the queued request.
 
@@ -58,6 +84,7 @@
         commands of another connection are processed.
         """
         self.reply = reply
+        self.reduce_reservation(len(reply))
         self.waiting = None
         clients = self.connection.clients
         clients.driver.metrics.count_rejection(self.terms.kind, reason)
@@ -70,6 +97,12 @@
         # Breaks a reference cycle, which would otherwise live until the garbage collector runs.
         self.request = None
         # A streaming reply keeps its request open until it is written.
+        clients = self.connection.clients
         if isinstance(reply, bytes):
-            self.connection.clients.open_request_ids.discard(self.request_id)
+            if reply.startswith(SERVED_PREFIX):
+                clients.reply_sizes.observe(self.kind, len(reply))
+            self.reduce_reservation(len(reply))
+            clients.open_request_ids.discard(self.request_id)
+        else:
+            clients.reply_sizes.observe(self.kind, MAX_REPLY_BYTES)
         self.connection.flush()
--- a/saffrongw/gateway/reasons.py
+++ b/saffrongw/gateway/reasons.py
@@ -25,3 +25,4 @@
     POLICY = "policy"
     OVERLOAD = "overload"
     SHUTDOWN = "shutdown"
+    MEMORY = "memory"
--- a/saffrongw/gateway/request_types.py
+++ b/saffrongw/gateway/request_types.py
@@ -14,6 +14,8 @@
 US_PER_MS = 1_000
 
 FAILED = b"-ERR failed\r\n"
+# How a reply that holds a value begins.
+SERVED_PREFIX = b"$"
 
 FinalReply = bytes | StreamingReply
 SendReply = Callable[[FinalReply], None]
