Requests: one that has ended is freed at once, with its body

Cause: an ended request stayed in memory. One that the policy rejects at once, or whose client leaves, formed a reference cycle with its slot, freed only when the garbage collector ran, which counts objects and not their 60 KB. One that its client left while an attempt was out kept its deadline timer, up to the time that the client had named (an hour at most); the timer held it.

Change: a slot keeps no ended request, and the driver cancels the timer and drops the attempts once the last attempt of a finished request has ended.

The rig built 128 requests a client at once, which starved the test itself; it sends them one by one now.

--- a/saffrongw/gateway/downstream/connection.py
+++ b/saffrongw/gateway/downstream/connection.py
@@ -238,8 +238,7 @@
             rejection = clients.admission_queue.rejection
             self._reject_request(terms, rejection, RejectionReason.MEMORY)
         elif clients.admission_queue.may_start():
-            slot = self._append_request(terms.kind, parts)
-            slot.request = driver.request_arrived(terms, parts, slot.answer)
+            self._append_request(terms.kind, parts).start_request(terms, parts)
         elif len(self.slots) >= self.pipeline_limit:
             rejection = clients.admission_queue.rejection
             self._reject_request(terms, rejection, RejectionReason.OVERLOAD)
@@ -512,4 +511,5 @@
             if slot.waiting:
                 clients.admission_queue.remove(slot.waiting)
             elif slot.request:
-                clients.driver.client_disconnected(slot.request)
+                request, slot.request = slot.request, None
+                clients.driver.client_disconnected(request)
--- a/saffrongw/gateway/downstream/reply_slot.py
+++ b/saffrongw/gateway/downstream/reply_slot.py
@@ -68,7 +68,15 @@
         driver = self.connection.clients.driver
         timeout_us = max(US_PER_MS, waiting.deadline_us - driver.clock())
         terms = self.terms._replace(timeout_us=timeout_us)
-        self.request = driver.request_arrived(terms, self.parts, self.answer)
+        self.start_request(terms, self.parts)
+
+    def start_request(self, terms: RequestTerms, parts: tuple[bytes, ...]) -> None:
+        """Start the request; the policy may answer it at once."""
+        driver = self.connection.clients.driver
+        request = driver.request_arrived(terms, parts, self.answer)
+        # A request that is answered would form a reference cycle with its slot.
+        if not request.is_finished:
+            self.request = request
 
     def reduce_reservation(self, needed_bytes: int) -> None:
         """Give back the memory that is reserved beyond what is still needed."""
--- a/saffrongw/gateway/driver.py
+++ b/saffrongw/gateway/driver.py
@@ -197,10 +197,8 @@
                 report,
             )
         )
-        if request.is_finished and request.event.request not in self.requests:
-            # Breaks the reference cycle between the request and its attempts, which would otherwise
-            # keep both in memory until the garbage collector runs.
-            request.attempts.clear()
+        if request.is_finished and all(each.is_ended for each in request.attempts):
+            self._release_request(request)
 
     def endpoint_list_received(self, endpoints: EndpointList, cached: bool = False) -> None:
         """Apply an endpoint list from discovery, or the cached one at start-up."""
@@ -354,9 +352,18 @@
                 # Kept for one event loop iteration: the policy may cancel attempts in flight.
                 self.loop.call_soon(self.requests.pop, request.event.request, None)
                 return
+        self._release_request(request)
+
+    def _release_request(self, request: ClientRequest) -> None:
+        """Free a finished request whose attempts have all ended.
+
+        Its timer would hold it until the client's deadline, and the reference cycle with its
+        attempts until the garbage collector runs.
+        """
         if request.deadline_timer:
             request.deadline_timer.cancel()
         self.requests.pop(request.event.request, None)
+        request.attempts.clear()
 
     def _attempt_timed_out(self, attempt: UpstreamAttempt) -> None:
         """End an attempt that got no reply in time.
--- a/tests/faults/crowd_rig.py
+++ b/tests/faults/crowd_rig.py
@@ -216,11 +216,15 @@
         await Replies(sock, SLOW_READ_BYTES, SLOW_INTERVAL_S).next()
 
 
+async def _send_large_requests(sock: socket.socket) -> None:
+    for _ in range(PIPELINED_REQUESTS):
+        await _send(sock, post(b"x" * BODY_BYTES))
+
+
 async def pipeline_large_requests(gateway: LimitedGateway) -> None:
     """Send many large requests at once, and read all replies."""
     with await gateway.connect() as sock:
-        data = b"".join(post(b"x" * BODY_BYTES) for _ in range(PIPELINED_REQUESTS))
-        sending = asyncio.create_task(_send(sock, data))
+        sending = asyncio.create_task(_send_large_requests(sock))
         replies = Replies(sock)
         try:
             for _ in range(PIPELINED_REQUESTS):
