Hot restart: an adopted connection whose commands wait is not read on

Cause: the data that the predecessor had read was processed in connection_made. The loop starts to read only after that method, so a pause in it has no effect, and the connection, which takes itself for paused, never pauses again: all that its client sends is held.

Change: the data is kept in connection_made and processed in the next iteration of the loop.

--- a/saffrongw/gateway/downstream/connection.py
+++ b/saffrongw/gateway/downstream/connection.py
@@ -80,7 +80,7 @@
         self.close_reason: CloseReason | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Register the connection and process its initial data; in a hand-over, pass it on.
+        """Register the connection; its initial data is processed or, in a hand-over, given on.
 
         Writing is paused as soon as the socket takes no more.
         """
@@ -91,7 +91,13 @@
         self.clients.opened(self)
         data, self.initial_data = self.initial_data, b""
         if data or self.shutdown.is_handing_over:
-            self.data_received(data)
+            self.reader.feed(data)
+            # Reading starts after this method returns: if it were paused here, it would go on.
+            self.clients.loop.call_soon(self._process_initial_data)
+
+    def _process_initial_data(self) -> None:
+        if not self.is_closing and not self.transport.is_closing():
+            self.process_commands()
 
     # -- backpressure -----------------------------------------------------------------------------
 
--- a/tests/gateway/test_bounded_reads.py
+++ b/tests/gateway/test_bounded_reads.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+import socket
+
 from async_testing import asyncio_test, until
 from client_rig import SmallBufferClient
 from fake_endpoint import FakeEndpoint, value
@@ -40,3 +43,22 @@
     received = await client.receive(len(LONG) + len(b"$1000000\r\n\r\n"))
     assert received == b"$1000000\r\n" + LONG + b"\r\n"
     client.sock.close()
+
+
+@asyncio_test
+async def test_an_adopted_connection_is_not_read_on_while_its_commands_wait():
+    rig = Rig(await FakeEndpoint("a").listen())
+    await rig.listen()
+    here, there = socket.socketpair()
+    here.setblocking(False)
+    # More than one turn processes.
+    initial_data = b"*1\r\n$4\r\nPING\r\n" * 10_000
+    rig.clients.adopt(there, initial_data)
+    sending = asyncio.create_task(rig.loop.sock_sendall(here, initial_data * 20))
+    await until(lambda: rig.clients.connections)
+    (connection,) = rig.clients.connections
+    await until(lambda: not connection.is_writable)
+    await asyncio.sleep(0.3)
+    assert len(connection.reader) <= len(initial_data) + READ_BYTES
+    sending.cancel()
+    here.close()
