TLS: a connection that is not read holds less encrypted data

Cause: while a connection is paused, the TLS layer holds up to 256 KB of encrypted data and one read more, which is as large as the kernel's buffer allows, up to 256 KB, in a buffer of the connection.

Change: at most one read of 16 KiB is held beyond the limit, and the kernel's receive buffer of connections to the TLS listener is 32 KiB.

--- a/saffrongw/certs/tls_listener.py
+++ b/saffrongw/certs/tls_listener.py
@@ -39,6 +39,8 @@
 VALIDATION_SHUTDOWN_TIMEOUT_S = 1.0
 MAX_PEEK_BYTES = client_hello.MAX_HELLO_BYTES + 1_024
 TCP_ESTABLISHED = 1
+# Of the kernel; uvloop reads what it holds at once, up to 256 KiB, into a buffer of the connection.
+RECEIVE_BUFFER_BYTES = 32 * 1024
 VERSIONS = {"1.2": ssl.TLSVersion.TLSv1_2, "1.3": ssl.TLSVersion.TLSv1_3}
 CLIENT_VERIFICATION = {
     "none": ssl.CERT_NONE,
@@ -140,6 +142,8 @@
         """Bind the address without accepting; an error aborts the start of the gateway."""
         self.listener = socket.create_server(self.address, backlog=LISTEN_BACKLOG, reuse_port=True)
         self.listener.setblocking(False)
+        # Inherited by the accepted connections.
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self._is_prepared = True
         self._replace_ticket_keys(0.0)
 
--- a/saffrongw/gateway/downstream/connection.py
+++ b/saffrongw/gateway/downstream/connection.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import deque
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING, Protocol, cast
 
 from ..bounded_reads import READ_BYTES, BoundedReadProtocol
 from ..in_flight_memory import STREAM_BYTES
@@ -44,6 +44,13 @@
 MAX_PENDING_REJECTION_BYTES = 64 * 1024
 
 
+class SslTransport(Protocol):
+    """What uvloop's TLS transports have beside the methods of ``asyncio.Transport``."""
+
+    def set_read_buffer_limits(self, high: int) -> None:
+        """Limit the encrypted data that is held while the connection is not read."""
+
+
 class ClientConnection(BoundedReadProtocol):
     """A client connection that awaits a command, has requests in flight, is idle, or is closing."""
 
@@ -80,14 +87,9 @@
         self.close_reason: CloseReason | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Register the connection; its initial data is processed or, in a hand-over, given on.
-
-        Writing is paused as soon as the socket takes no more.
-        """
+        """Register the connection; its initial data is processed or, in a hand-over, given on."""
         self.transport = cast("asyncio.Transport", transport)
-        is_tls = self._is_tls()
-        high_water = TLS_WRITE_HIGH_WATER_BYTES if is_tls else WRITE_HIGH_WATER_BYTES
-        self.transport.set_write_buffer_limits(high=high_water)
+        self._limit_buffers()
         self.clients.opened(self)
         data, self.initial_data = self.initial_data, b""
         if data or self.shutdown.is_handing_over:
@@ -95,6 +97,15 @@
             # Reading starts after this method returns: if it were paused here, it would go on.
             self.clients.loop.call_soon(self._process_initial_data)
 
+    def _limit_buffers(self) -> None:
+        """Limit what the transport holds in either direction."""
+        if self._is_tls():
+            self.transport.set_write_buffer_limits(high=TLS_WRITE_HIGH_WATER_BYTES)
+            # Encrypted data that is held while the connection is not read.
+            cast("SslTransport", self.transport).set_read_buffer_limits(high=READ_BYTES)
+        else:
+            self.transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+
     def _process_initial_data(self) -> None:
         if not self.is_closing and not self.transport.is_closing():
             self.process_commands()
