--- a/tests/gateway/test_bounded_reads.py
+++ b/tests/gateway/test_bounded_reads.py
@@ -5,12 +5,14 @@
 import asyncio
 import socket
 
+import hiredis
 from async_testing import asyncio_test, until
 from client_rig import SmallBufferClient
 from fake_endpoint import FakeEndpoint, value
 from loopback_rig import Rig
 
 from saffrongw.gateway.bounded_reads import READ_BYTES
+from saffrongw.gateway.downstream.listener import MAX_UNSENT_BYTES
 
 LONG = b"x" * 1_000_000
 
@@ -62,3 +64,24 @@
     assert len(connection.reader) <= len(initial_data) + READ_BYTES
     sending.cancel()
     here.close()
+
+
+@asyncio_test
+async def test_the_kernel_holds_little_for_a_client_that_reads_nothing():
+    endpoint = FakeEndpoint("a")
+    endpoint.script = lambda command: value(b"x" * 4_000_000)
+    rig = Rig(await endpoint.listen())
+    await rig.listen()
+    reader = socket.socket()
+    reader.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    reader.setblocking(False)
+    await rig.loop.sock_connect(reader, rig.clients.acceptor.listener.getsockname())
+    terms = b"c=read,t=team,d=20000,units=1,spread=2,first=0"
+    command = (b"CALL.GET", b"0000000000000007", b"long", terms)
+    await rig.loop.sock_sendall(reader, hiredis.pack_command(command))
+    await until(lambda: any(each.streaming for each in rig.clients.connections))
+    (connection,) = rig.clients.connections
+    await until(lambda: not connection.is_writable)
+    await asyncio.sleep(0.2)
+    assert connection.undelivered_bytes <= MAX_UNSENT_BYTES + 2 * READ_BYTES
+    reader.close()
