Clients: a connection's reservations and its transport's limits are modules of their own

One case differs: in an overload, a connection that may not have another request for lack of memory is not queued one either, but answered with the rejection.

Measured: tests/gateway and tests/certs passed.

--- a/saffrongw/gateway/downstream/connection.py
+++ b/saffrongw/gateway/downstream/connection.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import deque
-from typing import TYPE_CHECKING, Protocol, cast
+from typing import TYPE_CHECKING, cast
 
 from ..bounded_reads import READ_BYTES, BoundedReadProtocol
 from ..in_flight_memory import STREAM_BYTES
@@ -14,7 +14,9 @@
 from ..resp import CommandReader, MalformedMessageError
 from ..streaming_reply import StreamingReply
 from . import socket_state
+from .buffer_limits import limit_buffers
 from .reply_slot import ReplySlot
+from .reservations import Reservations
 
 if TYPE_CHECKING:
     from .listener import ClientConnections
@@ -29,28 +31,14 @@
 TURN_BUDGET = 2_048
 REJECTION_COST = 1
 COMMAND_COST = 16
-# Index of the body among a request's parts, which end before it if there is none.
-BODY_PART = 5
-
 # After a read of this size there may be more unread, which the loop would read at once.
 FULL_READ_BYTES = READ_BYTES
 
-# Unwritten bytes beyond which writing is paused. A TLS handshake leaves session tickets unwritten.
-WRITE_HIGH_WATER_BYTES = 0
-TLS_WRITE_HIGH_WATER_BYTES = 16 * 1024
-
 # In an overload a connection at the pipeline limit is still read, to reject its commands early,
 # until this many bytes of rejections wait behind its pending replies.
 MAX_PENDING_REJECTION_BYTES = 64 * 1024
 
 
-class SslTransport(Protocol):
-    """What uvloop's TLS transports have beside the methods of ``asyncio.Transport``."""
-
-    def set_read_buffer_limits(self, high: int) -> None:
-        """Limit the encrypted data that is held while the connection is not read."""
-
-
 class ClientConnection(BoundedReadProtocol):
     """A client connection that awaits a command, has requests in flight, is idle, or is closing."""
 
@@ -64,12 +52,9 @@
         self.reaper = clients.reaper
         # Bytes that the predecessor process read and did not process.
         self.initial_data = initial_data
-        self.reader = CommandReader(self._may_keep_body)
         self.memory = clients.in_flight_memory
-        # Reserved for the command that arrives or is processed, until it has a slot.
-        self.body_reserved_bytes = 0
-        # Reserved for replies that the socket has not taken completely.
-        self.unwritten_reserved_bytes = 0
+        self.reservations = Reservations(self.memory, clients.reply_sizes)
+        self.reader = CommandReader(self.reservations.may_keep_body)
         self.slots: deque[ReplySlot] = deque()
         # The reply of the first slot, while it is streamed to the client.
         self.streaming: StreamingReply | None = None
@@ -89,7 +74,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection; its initial data is processed or, in a hand-over, given on."""
         self.transport = cast("asyncio.Transport", transport)
-        self._limit_buffers()
+        limit_buffers(self.transport, self._is_tls())
         self.clients.opened(self)
         data, self.initial_data = self.initial_data, b""
         if data or self.shutdown.is_handing_over:
@@ -97,15 +82,6 @@
             # Reading starts after this method returns: if it were paused here, it would go on.
             self.clients.loop.call_soon(self._process_initial_data)
 
-    def _limit_buffers(self) -> None:
-        """Limit what the transport holds in either direction."""
-        if self._is_tls():
-            self.transport.set_write_buffer_limits(high=TLS_WRITE_HIGH_WATER_BYTES)
-            # Encrypted data that is held while the connection is not read.
-            cast("SslTransport", self.transport).set_read_buffer_limits(high=READ_BYTES)
-        else:
-            self.transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
-
     def _process_initial_data(self) -> None:
         if not self.is_closing and not self.transport.is_closing():
             self.process_commands()
@@ -122,7 +98,7 @@
     def resume_writing(self) -> None:
         """Read again, as the client has read its replies."""
         self.is_writable = True
-        self._release_unwritten()
+        self.reservations.release_unwritten()
         self.update_reading()
         if self.streaming:
             self.streaming.set_paused(False)
@@ -251,12 +227,12 @@
             self._append_reply(FAILED)
         elif self.shutdown.rejects_requests or self.shutdown.is_handing_over:
             self._reject_request(terms, busy_reply(0), RejectionReason.SHUTDOWN)
-        elif is_body_dropped or not self._reserve(terms.kind, parts):
+        elif is_body_dropped or not self.reservations.reserve_request(terms.kind, parts):
             rejection = clients.admission_queue.rejection
             self._reject_request(terms, rejection, RejectionReason.MEMORY)
         elif clients.admission_queue.may_start():
             self._append_request(terms.kind, parts).start_request(terms, parts)
-        elif len(self.slots) >= self.pipeline_limit:
+        elif not self._may_start_more():
             rejection = clients.admission_queue.rejection
             self._reject_request(terms, rejection, RejectionReason.OVERLOAD)
         else:
@@ -264,57 +240,24 @@
             slot.terms, slot.parts = terms, parts
             queue = clients.admission_queue
             slot.waiting = queue.enqueue(terms, class_and_plan(parts), parts[1], slot)
-        self._release_body()
+        self.reservations.release_command()
 
     def _append_request(self, kind: int, parts: tuple[bytes, ...]) -> ReplySlot:
         """Append the slot of a request that is started or queued; it gets what is reserved."""
-        slot = ReplySlot(self, parts[2], kind, self.body_reserved_bytes)
-        self.body_reserved_bytes = 0
+        slot = ReplySlot(self, parts[2], kind, self.reservations.take_request())
         self.clients.open_request_ids.add(parts[2])
         self.slots.append(slot)
         return slot
 
-    # -- memory -----------------------------------------------------------------------------------
-
     def _may_start_more(self) -> bool:
         """Whether the connection may have one more command in progress."""
         slots = self.slots
         return not slots or (len(slots) < self.pipeline_limit and self.memory.allows_greedy)
 
-    def _may_keep_body(self, length: int) -> bool:
-        """Reserve memory for a large body that arrives in pieces, if there is room."""
-        if not self.memory.allows_greedy or not self.memory.try_reserve(length):
-            return False
-        self.body_reserved_bytes = length
-        return True
-
-    def _reserve(self, kind: int, parts: tuple[bytes, ...]) -> bool:
-        """Reserve memory for a request's body, if that is not done yet, and for its reply."""
-        needed_bytes = self.clients.reply_sizes.expected_bytes(kind)
-        if not self.body_reserved_bytes and len(parts) > BODY_PART:
-            needed_bytes += len(parts[BODY_PART])
-        if not self.memory.try_reserve(needed_bytes):
-            return False
-        self.body_reserved_bytes += needed_bytes
-        return True
-
-    def _release_body(self) -> None:
-        """Give back what is reserved for a command that did not get a slot."""
-        reserved_bytes, self.body_reserved_bytes = self.body_reserved_bytes, 0
-        self.memory.release(reserved_bytes)
-
-    def _release_unwritten(self) -> None:
-        """Give back what is reserved for replies that the socket has taken by now."""
-        reserved_bytes, self.unwritten_reserved_bytes = self.unwritten_reserved_bytes, 0
-        self.memory.release(reserved_bytes)
-
     def _release_slot(self, slot: ReplySlot) -> None:
         """Give back what is reserved for a reply that was written, once the socket has taken it."""
         reserved_bytes, slot.reserved_bytes = slot.reserved_bytes, 0
-        if self.is_writable:
-            self.memory.release(reserved_bytes)
-        else:
-            self.unwritten_reserved_bytes += reserved_bytes
+        self.reservations.reply_written(reserved_bytes, self.is_writable)
 
     def _may_reject_more(self) -> bool:
         """Whether commands beyond the pipeline limit are read, to be rejected early."""
@@ -507,12 +450,12 @@
         """End the requests of the client, which has disconnected."""
         self.clients.lost(self)
         self._end_requests()
-        self._release_unwritten()
+        self.reservations.release_unwritten()
 
     def _clear_input(self) -> None:
         """Free what has arrived: no more commands are processed."""
         self.reader.clear()
-        self._release_body()
+        self.reservations.release_command()
 
     def _end_requests(self) -> None:
         self.is_closing = True
