Planted faults: 'sends after the answer' reads the attempts before the request ends

Cause: the planted fault looks at call.attempts after the final reply.

Change: the variant takes the attempts before the reply is sent. What it plants, and what the checker has to find, is the same.

--- a/tests/faults/variants.py
+++ b/tests/faults/variants.py
@@ -119,12 +119,13 @@
     due, plain = every(15), Driver._send_final_reply
 
     def finish(self, call, reply) -> None:
-        first = not call.is_finished
+        # The request drops its attempts when it has ended.
+        first, attempts = not call.is_finished, tuple(call.attempts)
         plain(self, call, reply)
-        if first and call.attempts and due():
+        if first and attempts and due():
             now = self.clock()
             again = UpstreamAttempt(
-                call, len(call.attempts), call.attempts[0].endpoint_id, now, now + 2_000_000
+                call, len(attempts), attempts[0].endpoint_id, now, now + 2_000_000
             )
             self.loop.call_later(0.25, self.cluster.send, again)
 
