Clients: fewer calls for each command and reply

Change: checks that rarely hold are made in place before a method is called. What they do is the same.

--- a/saffrongw/gateway/downstream/connection.py
+++ b/saffrongw/gateway/downstream/connection.py
@@ -108,7 +108,10 @@
         So no more than one read's worth of data is ever unprocessed.
         """
         is_reading = self.is_writable and not self.is_closing and not self.is_turn_over
-        is_reading = is_reading and self._may_start_more() and not self._leaves_commands()
+        is_reading = is_reading and (not self.slots or self._may_start_more())
+        is_reading = is_reading and (
+            self.shutdown.give_to_successor is None or not self._leaves_commands()
+        )
         if is_reading is not self.is_reading and not self.transport.is_closing():
             self.is_reading = is_reading
             self.clients.paused_reads.set_paused(self, not is_reading)
@@ -140,7 +143,7 @@
             return
         self.is_processing = True
         try:
-            if not self._leaves_commands():
+            if self.shutdown.give_to_successor is None or not self._leaves_commands():
                 self._process_all()
         except MalformedMessageError as error:
             # What follows a malformed command can't be interpreted.
@@ -173,7 +176,7 @@
         while (
             not self.is_closing
             and len(reader)
-            and (self._may_start_more() or self._may_reject_more())
+            and (not self.slots or self._may_start_more() or self._may_reject_more())
         ):
             if budget <= 0:
                 self.pipeline_limit = MAX_PIPELINED_IN_FLOOD
@@ -241,7 +244,8 @@
             slot.terms, slot.parts = terms, parts
             queue = clients.admission_queue
             slot.waiting = queue.enqueue(terms, class_and_plan(parts), parts[1], slot)
-        self.reservations.release_command()
+        if self.reservations.command_bytes:
+            self.reservations.release_command()
 
     def _append_request(self, kind: int, parts: tuple[bytes, ...]) -> ReplySlot:
         """Append the slot of a request that is started or queued; it gets what is reserved."""
@@ -252,8 +256,8 @@
 
     def _may_start_more(self) -> bool:
         """Whether the connection may have one more command in progress."""
-        slots = self.slots
-        return not slots or (len(slots) < self.pipeline_limit and self.memory.allows_greedy)
+        count = len(self.slots)
+        return not count or (count < self.pipeline_limit and self.memory.allows_greedy)
 
     def _release_slot(self, slot: ReplySlot) -> None:
         """Give back what is reserved for a reply that was written, once the socket has taken it."""
--- a/saffrongw/gateway/downstream/listener.py
+++ b/saffrongw/gateway/downstream/listener.py
@@ -163,8 +163,9 @@
 
     def turn_budget(self) -> int:
         """Return how much a connection may process in this iteration of the event loop."""
-        share = TURN_BUDGET * FULL_TURNS // max(FULL_TURNS, self.waiting_turns)
-        return max(MIN_TURN_BUDGET, share)
+        if self.waiting_turns <= FULL_TURNS:
+            return TURN_BUDGET
+        return max(MIN_TURN_BUDGET, TURN_BUDGET * FULL_TURNS // self.waiting_turns)
 
     def opened(self, connection: ClientConnection) -> None:
         """Add a connection."""
--- a/saffrongw/gateway/downstream/reservations.py
+++ b/saffrongw/gateway/downstream/reservations.py
@@ -14,35 +14,36 @@
     Once a request is started or queued, its slot owns what is reserved for it.
     """
 
-    __slots__ = ("_command_bytes", "_memory", "_reply_sizes", "_unwritten_bytes")
+    __slots__ = ("_memory", "_reply_sizes", "_unwritten_bytes", "command_bytes")
 
     def __init__(self, memory: InFlightMemory, reply_sizes: ReplySizes) -> None:
         """Start without reservations."""
         self._memory = memory
         self._reply_sizes = reply_sizes
-        self._command_bytes = 0
+        # For the command that arrives or is processed.
+        self.command_bytes = 0
         self._unwritten_bytes = 0
 
     def may_keep_body(self, length: int) -> bool:
         """Reserve memory for a large body that arrives in pieces, if there is room."""
         if not self._memory.allows_greedy or not self._memory.try_reserve(length):
             return False
-        self._command_bytes = length
+        self.command_bytes = length
         return True
 
     def reserve_request(self, kind: int, parts: tuple[bytes, ...]) -> bool:
         """Reserve memory for a request's body, if that is not done yet, and for its reply."""
         needed_bytes = self._reply_sizes.expected_bytes(kind)
-        if not self._command_bytes and len(parts) > BODY_PART:
+        if not self.command_bytes and len(parts) > BODY_PART:
             needed_bytes += len(parts[BODY_PART])
         if not self._memory.try_reserve(needed_bytes):
             return False
-        self._command_bytes += needed_bytes
+        self.command_bytes += needed_bytes
         return True
 
     def take_request(self) -> int:
         """Return what is reserved for the request; it belongs to the caller from now on."""
-        reserved_bytes, self._command_bytes = self._command_bytes, 0
+        reserved_bytes, self.command_bytes = self.command_bytes, 0
         return reserved_bytes
 
     def release_command(self) -> None:
--- a/saffrongw/gateway/in_flight_memory.py
+++ b/saffrongw/gateway/in_flight_memory.py
@@ -69,7 +69,8 @@
 
     def expected_bytes(self, kind: int) -> int:
         """Return how much to reserve for a reply to a request of this class."""
-        return max(MIN_REPLY_BYTES, int(self._estimates[kind]))
+        estimate = self._estimates[kind]
+        return int(estimate) if estimate > MIN_REPLY_BYTES else MIN_REPLY_BYTES
 
     def observe(self, kind: int, length: int) -> None:
         """Follow a reply: at once if it is longer than expected, else slowly."""
