--- a/saffrongw/certs/tls_listener.py
+++ b/saffrongw/certs/tls_listener.py
@@ -23,7 +23,7 @@
 from saffrongw.gateway.acceptor import MAX_ACCEPTS_PER_TURN
 from saffrongw.gateway.config import Address
 from saffrongw.gateway.downstream.connection import ClientConnection
-from saffrongw.gateway.downstream.listener import LISTEN_BACKLOG, ClientConnections, limit_unsent
+from saffrongw.gateway.downstream.listener import LISTEN_BACKLOG, ClientConnections
 
 from . import client_hello
 from .handshakes import HandshakeLimits, Handshakes
@@ -144,7 +144,6 @@
         self.listener.setblocking(False)
         # Inherited by the accepted connections.
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        limit_unsent(self.listener)
         self._is_prepared = True
         self._replace_ticket_keys(0.0)
 
--- a/saffrongw/gateway/downstream/listener.py
+++ b/saffrongw/gateway/downstream/listener.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import socket
 from typing import Protocol
 
@@ -14,7 +13,6 @@
 from ..in_flight_memory import InFlightMemory, ReplySizes
 from ..reasons import CloseReason, RejectionReason
 from ..request_parser import RequestFormat
-from ..resp import MAX_VALUE_BYTES
 from .connection import ClientConnection
 from .graceful_shutdown import GracefulShutdown
 from .idle_reaper import IdleReaper
@@ -23,10 +21,6 @@
 # Connections that the kernel queues until they are accepted.
 LISTEN_BACKLOG = 1024
 
-# What the kernel takes of replies beyond what is on its way: a whole buffered value.
-MAX_UNSENT_BYTES = 2 * MAX_VALUE_BYTES
-
-
 # A connection's share of an event loop iteration, for up to FULL_TURNS connections that have more
 # to process; more than these share what FULL_TURNS have.
 TURN_BUDGET = 2_048
@@ -34,15 +28,6 @@
 MIN_TURN_BUDGET = 64
 
 
-def limit_unsent(listener: socket.socket) -> None:
-    """Limit what the kernel holds for clients that read slowly, on all accepted connections.
-
-    It would otherwise take megabytes for each, which a small machine does not have.
-    """
-    with contextlib.suppress(OSError):
-        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_UNSENT_BYTES)
-
-
 class Listener(Protocol):
     """An additional listener, such as one for TLS.
 
@@ -97,7 +82,6 @@
         """
         if sock is None:
             sock = socket.create_server(self.config.listen, backlog=LISTEN_BACKLOG, reuse_port=True)
-        limit_unsent(sock)
         self.acceptor = Acceptor(
             self.loop, sock, self.ensure_capacity, lambda: ClientConnection(self)
         )
--- a/tests/gateway/test_bounded_reads.py
+++ b/tests/gateway/test_bounded_reads.py
@@ -12,7 +12,9 @@
 from loopback_rig import Rig
 
 from saffrongw.gateway.bounded_reads import READ_BYTES
-from saffrongw.gateway.downstream.listener import MAX_UNSENT_BYTES
+
+# Two buffered values.
+MAX_UNSENT_BYTES = 128 * 1024
 
 LONG = b"x" * 1_000_000
 
