Request log: each request's way, with reasons of retries, refusals and closes

Change: with SAFFRONGW_REQUEST_LOG a process appends a line for each event of a request (received, rejected, started, attempt, outcome, ended by whom, abandoned, written) and for each closed client connection. Off without the variable; a file that fails or is full ends the log, not requests.

--- a/saffrongw/gateway/bootstrap.py
+++ b/saffrongw/gateway/bootstrap.py
@@ -30,6 +30,7 @@
 from .hot_restart.successor import SuccessorHandOver
 from .logging_setup import configure_logging
 from .memory_usage import BufferedBytes, MemoryWatch
+from .request_log import RequestLog
 from .upstream.cluster import UpstreamCluster
 
 # How long new connections are still accepted after SIGTERM.
@@ -79,6 +80,7 @@
     stop_requested = _stop_on_signals(loop)
     budget = DescriptorBudget.of(config.sockets)
     driver = _build_driver(config, loop, extensions)
+    driver.request_log = RequestLog.from_environment(driver.clock)
     cluster = _build_cluster(config, driver, budget)
     successor = await SuccessorHandOver.connect(loop, config.listen)
     await _start_driver(config, driver, successor, extensions)
--- a/saffrongw/gateway/downstream/connection.py
+++ b/saffrongw/gateway/downstream/connection.py
@@ -27,6 +27,9 @@
 # The same while a connection sends more than its turns can take: others wait behind fewer.
 MAX_PIPELINED_IN_FLOOD = 32
 
+# Line of a request that holds its id: after the lines of the array, the command and the customer.
+SHED_ID_LINE = 6
+
 # Costs of a command within a turn; the unit is a rejection without parsing.
 REJECTION_COST = 1
 COMMAND_COST = 16
@@ -47,6 +50,9 @@
         """Prepare for a connection that is not open yet."""
         super().__init__(clients.read_buffer)
         self.clients = clients
+        # Set when it is opened.
+        self.number = 0
+        self.request_log = clients.driver.request_log
         self.shutdown = clients.shutdown
         self.reaper = clients.reaper
         # Bytes that the predecessor process read and did not process.
@@ -189,6 +195,8 @@
                 and (skimmed := request_format.skim(reader.data, reader.position))
                 and (skimmed[1] in saturated or skimmed[2] in saturated)
             ):
+                if self.request_log:
+                    self._log_shed(reader.data[reader.position : skimmed[0]])
                 reader.position, shed_count = skimmed[0], shed_count + 1
                 clients.count_shed(skimmed[2])
                 budget -= REJECTION_COST
@@ -223,22 +231,26 @@
     ) -> None:
         """Start a request, queue it, or reject it."""
         clients, driver = self.clients, self.clients.driver
+        if self.request_log:
+            self.request_log.received(self.number, parts, terms.kind)
         if parts[2] in clients.open_request_ids:
             raise MalformedMessageError("a request with this id is open")
         if driver.recent_requests.may_not_run(terms.kind, parts[1], parts[2]):
             # A refusal would tell the client that trying again does no harm.
             driver.metrics.failed[terms.kind] += 1
+            if self.request_log:
+                self.request_log.repeated(self.number, parts[2])
             self._append_reply(FAILED)
         elif self.shutdown.rejects_requests or self.shutdown.is_handing_over:
-            self._reject_request(terms, busy_reply(0), RejectionReason.SHUTDOWN)
+            self._reject_request(terms, parts, busy_reply(0), RejectionReason.SHUTDOWN)
         elif is_body_dropped or not self.reservations.reserve_request(terms.kind, parts):
             rejection = clients.admission_queue.rejection
-            self._reject_request(terms, rejection, RejectionReason.MEMORY)
+            self._reject_request(terms, parts, rejection, RejectionReason.MEMORY)
         elif clients.admission_queue.may_start():
             self._append_request(terms.kind, parts).start_request(terms, parts)
         elif not self._may_start_more():
             rejection = clients.admission_queue.rejection
-            self._reject_request(terms, rejection, RejectionReason.OVERLOAD)
+            self._reject_request(terms, parts, rejection, RejectionReason.OVERLOAD)
         else:
             slot = self._append_request(terms.kind, parts)
             slot.terms, slot.parts = terms, parts
@@ -271,13 +283,23 @@
         has_room = pending_bytes < MAX_PENDING_REJECTION_BYTES
         return has_room and self.clients.admission_queue.is_overloaded
 
-    def _reject_request(self, terms: RequestTerms, reply: bytes, reason: RejectionReason) -> None:
+    def _reject_request(
+        self, terms: RequestTerms, parts: tuple[bytes, ...], reply: bytes, reason: RejectionReason
+    ) -> None:
         """Reject a parsed request without starting it."""
         self.clients.driver.metrics.count_rejection(terms.kind, reason)
+        if self.request_log:
+            self.request_log.rejected(self.number, parts[2], reason)
         self._append_rejections(reply, 1)
 
     # -- replies ----------------------------------------------------------------------------------
 
+    def _log_shed(self, command: bytes) -> None:
+        """Log a request that is rejected without parsing."""
+        if self.request_log:
+            request_id = command.split(b"\r\n", SHED_ID_LINE + 1)[SHED_ID_LINE]
+            self.request_log.rejected(self.number, request_id, RejectionReason.OVERLOAD)
+
     def _append_rejections(self, reply: bytes, count: int) -> None:
         """Append rejections; consecutive ones share a slot, so that a flood costs no objects."""
         replies = reply * count
@@ -321,6 +343,8 @@
             self.transport.write(b"".join(replies) if len(replies) > 1 else reply)
             for slot in written:
                 self._release_slot(slot)
+                if self.request_log:
+                    self.request_log.written(self.number, slot.request_id)
         if not self.is_processing:
             self.process_commands()
 
@@ -332,6 +356,8 @@
             slot.reply = FAILED
         else:
             self.streaming = reply
+            if self.request_log:
+                self.request_log.written(self.number, slot.request_id)
             slot.reduce_reservation(STREAM_BYTES)
             reply.attach(self)
 
--- a/saffrongw/gateway/downstream/listener.py
+++ b/saffrongw/gateway/downstream/listener.py
@@ -64,6 +64,8 @@
         self.reply_sizes = ReplySizes(len(config.settings.classes))
         self.read_buffer = make_read_buffer()
         self.connections: set[ClientConnection] = set()
+        # How many connections were opened; each is known by its number in the request log.
+        self.opened_count = 0
         # The ids, given by clients, of the requests without a final reply.
         self.open_request_ids: set[bytes | None] = set()
         # How many connections have more to process in the next iteration of the event loop.
@@ -154,6 +156,8 @@
     def opened(self, connection: ClientConnection) -> None:
         """Add a connection."""
         self.acceptor.opened(connection)
+        self.opened_count += 1
+        connection.number = self.opened_count
         self.connections.add(connection)
         self.reaper.opened(connection)
 
@@ -162,6 +166,8 @@
         if connection in self.connections:
             reason = connection.close_reason or CloseReason.CLIENT_LEFT
             self.driver.metrics.closed[reason] += 1
+            if self.driver.request_log:
+                self.driver.request_log.closed(connection.number, reason, len(connection.slots))
         self.connections.discard(connection)
         self.paused_reads.remove(connection)
         self.reaper.remove(connection)
--- a/saffrongw/gateway/downstream/reply_slot.py
+++ b/saffrongw/gateway/downstream/reply_slot.py
@@ -96,6 +96,8 @@
         self.waiting = None
         clients = self.connection.clients
         clients.driver.metrics.count_rejection(self.terms.kind, reason)
+        if clients.driver.request_log:
+            clients.driver.request_log.rejected(self.connection.number, self.request_id, reason)
         clients.open_request_ids.discard(self.request_id)
         self.connection.schedule_flush()
 
--- a/saffrongw/gateway/driver.py
+++ b/saffrongw/gateway/driver.py
@@ -41,8 +41,9 @@
 from .clock import Clock
 from .config import EndpointList
 from .metrics import Metrics
-from .reasons import RejectionReason
+from .reasons import EndedBy, RejectionReason
 from .recent_requests import RecentRequests
+from .request_log import RequestLog
 from .request_types import (
     FAILED,
     US_PER_MS,
@@ -92,6 +93,8 @@
         self.handle_by_policy: Callable[[int, Event], list[Action]] = self.gateway.handle
         self.metrics = Metrics(len(settings.classes))
         self.recent_requests = RecentRequests(settings.classes, self.clock)
+        # Set by ``bootstrap`` where the operators ask for it.
+        self.request_log: RequestLog | None = None
         # Set by ``connect_upstream`` before ``start``.
         self.cluster: Upstream
         self.send_gossip: Callable[[int, bytes], None] = lambda _peer, _body: None
@@ -147,11 +150,15 @@
         request = ClientRequest(event, parts, self.clock() + time_left_us, send_reply)
         self.requests[self.last_request_id] = request
         request.deadline_timer = self._call_at(request.deadline_us, self._deadline_passed, request)
+        if self.request_log:
+            self.request_log.started(request)
         return request
 
     def client_disconnected(self, request: ClientRequest) -> None:
         """End a request whose client has closed its connection: it needs no final reply."""
         if not request.is_finished:
+            if self.request_log:
+                self.request_log.abandoned(request)
             self._close_request(request)
             self.feed(ClientDisconnected(request.event.request))
             # Unsent attempts are withdrawn even where the settings forbid cancelling started ones.
@@ -177,6 +184,8 @@
             return
         attempt.is_ended = True
         self.metrics.outcomes[outcome] += 1
+        if self.request_log:
+            self.request_log.attempt_ended(attempt, outcome)
         if attempt.timeout_timer:
             attempt.timeout_timer.cancel()
         request = attempt.request
@@ -261,7 +270,7 @@
         """Fail the request that an event concerns, if any."""
         request = self.requests.get(_request_id_of(event))
         if request is not None and not request.is_finished:
-            self._fail_without_policy(request)
+            self._fail_without_policy(request, EndedBy.POLICY_EXCEPTION)
 
     # -- actions ----------------------------------------------------------------------------------
 
@@ -279,6 +288,8 @@
             request, len(request.attempts), action.endpoint_id, now_us, deadline_us
         )
         request.attempts.append(attempt)
+        if self.request_log:
+            self.request_log.attempt_started(attempt)
         # Nothing is sent after the request's final reply or its deadline.
         if request.is_finished or now_us >= request.deadline_us:
             self.attempt_ended(attempt, AttemptOutcome.NOT_SENT)
@@ -301,10 +312,12 @@
     def _reject_request(self, action: RejectRequest) -> None:
         if request := self.requests.get(action.request):
             self.metrics.rejected[RejectionReason.POLICY] += 1
+            request.ended_by = EndedBy.POLICY
             self._send_final_reply(request, busy_reply(action.retry_after_us))
 
     def _fail_request(self, action: FailRequest) -> None:
         if request := self.requests.get(action.request):
+            request.ended_by = EndedBy.POLICY
             self._send_final_reply(request, FAILED)
 
     def _set_timer(self, action: SetTimer) -> None:
@@ -333,6 +346,8 @@
     def _send_final_reply(self, request: ClientRequest, reply: FinalReply) -> None:
         """Send the final reply, if none was sent; every final reply is sent from here."""
         if not request.is_finished:
+            if self.request_log:
+                self.request_log.ended(request, reply)
             self._close_request(request)
             if isinstance(reply, bytes):
                 self.metrics.count_reply(request.event.kind, reply)
@@ -387,16 +402,17 @@
             self._attempt_timed_out(attempt)
         if not request.is_finished:
             log.warning("driver: request left unanswered: request=%d", request.event.request)
-            self._fail_without_policy(request)
+            self._fail_without_policy(request, EndedBy.DEADLINE)
 
     def fail_all_requests(self) -> None:
         """Fail all requests in flight, because the process is about to be killed."""
         for request in tuple(self.requests.values()):
             if not request.is_finished:
-                self._fail_without_policy(request)
+                self._fail_without_policy(request, EndedBy.SHUTDOWN)
 
-    def _fail_without_policy(self, request: ClientRequest) -> None:
+    def _fail_without_policy(self, request: ClientRequest, ended_by: EndedBy) -> None:
         """Fail a request without a decision of the policy, and make the policy forget it."""
+        request.ended_by = ended_by
         self._send_final_reply(request, FAILED)
         self.feed(ClientDisconnected(request.event.request))
 
--- a/saffrongw/gateway/filtering_driver.py
+++ b/saffrongw/gateway/filtering_driver.py
@@ -17,6 +17,7 @@
 from .extensions import Ending, Extensions
 from .filter_chain import FilterChain
 from .observers import ObservedUpstream, ObserverNotifier
+from .reasons import EndedBy
 from .request_types import (
     FAILED,
     US_PER_MS,
@@ -87,10 +88,12 @@
     def request_rejected(self, request: ClientRequest, retry_after_us: int) -> None:
         """Send the final reply of a rejection by a filter."""
         retry_after_us = min(retry_after_us, self.max_retry_after_us)
+        request.ended_by = EndedBy.FILTER
         self._send_final_reply(request, busy_reply(retry_after_us))
 
     def request_aborted(self, request: ClientRequest) -> None:
         """Send the final reply of a failure by a filter."""
+        request.ended_by = EndedBy.FILTER
         self._send_final_reply(request, FAILED)
 
     def call_after_us(
--- a/saffrongw/gateway/reasons.py
+++ b/saffrongw/gateway/reasons.py
@@ -1,4 +1,4 @@
-"""Why the gateway closes client connections and rejects requests, as counted in the metrics."""
+"""Why the gateway closes client connections, rejects requests and ends them."""
 
 from __future__ import annotations
 
@@ -26,3 +26,14 @@
     OVERLOAD = "overload"
     SHUTDOWN = "shutdown"
     MEMORY = "memory"
+
+
+class EndedBy(enum.Enum):
+    """Who decided the final reply of a request that was started."""
+
+    ENDPOINT = "endpoint"
+    POLICY = "policy"
+    POLICY_EXCEPTION = "policy_exception"
+    DEADLINE = "deadline"
+    SHUTDOWN = "shutdown"
+    FILTER = "filter"
--- a/saffrongw/gateway/request_types.py
+++ b/saffrongw/gateway/request_types.py
@@ -9,6 +9,7 @@
 
 from ..policy.events import EndpointId, RequestArrived
 from .config import EndpointList
+from .reasons import EndedBy
 from .streaming_reply import StreamingReply
 
 US_PER_MS = 1_000
@@ -16,6 +17,8 @@
 FAILED = b"-ERR failed\r\n"
 # How a reply that holds a value begins.
 SERVED_PREFIX = b"$"
+# How a rejection begins.
+BUSY_PREFIX = b"-BUSY"
 
 FinalReply = bytes | StreamingReply
 SendReply = Callable[[FinalReply], None]
@@ -59,6 +62,8 @@
     is_finished: bool = False
     # An attempt that has ended was sent completely, and its outcome does not say that it never ran.
     has_possibly_run: bool = False
+    # Set before the final reply, where that is not an endpoint's value.
+    ended_by: EndedBy = EndedBy.ENDPOINT
 
     @property
     def may_have_run(self) -> bool:
