Failing tests: commands behind an upload in pieces are answered in its place

Change: tests only. Real processes behind a proxy that cuts bytes in other pieces, with signals, kills, upgrades and a shim that steps the wall clock; endpoints whose values name their request.

--- a/tests/faults/crowd_rig.py
+++ b/tests/faults/crowd_rig.py
@@ -87,6 +87,8 @@
         limits = {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets}
         self.file, self.port = configured(folder, known=known, settings=settings, limits=limits)
         self.processes: list[asyncio.subprocess.Process] = []
+        # Further variables of the processes' environment.
+        self.environment: dict[str, str] = {}
 
     @property
     def process(self) -> asyncio.subprocess.Process:
@@ -131,6 +133,7 @@
         self.admin_port = free_port()
         environment = os.environ | {"LB_CONFIG": str(self.file), "TMPDIR": str(self.folder)}
         environment["LB_ADMIN"] = f"127.0.0.1:{self.admin_port}"
+        environment |= self.environment
         process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "saffrongw", env=environment, preexec_fn=limit_child
         )
--- /dev/null
+++ b/tests/faults/pipeline_rig.py
@@ -0,0 +1,353 @@
+"""Clients that pipeline uploads and small requests, and endpoints whose values name their request."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import random
+import signal
+import socket
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import hiredis
+from crowd_rig import ANSWER_SLACK_S, REQUEST_DEADLINE_S, LimitedGateway, Replies
+from cutting_proxy import CuttingProxy
+from fake_endpoint import FakeEndpoint, value
+
+CLOCK_SHIM = Path(__file__).parent / "clock_shim"
+CLASSES = ("read", "put", "bill")
+# Below and above the size from which a body that arrives in pieces is collected on its own.
+BODY_BYTES = (0, 900, 4_096, 9_000, 30_000, 65_000)
+VALUE_BYTES = (0, 3_000, 20_000, 100_000)
+CLOCK_STEPS_S = (-3_600, -60, -2, 2, 60, 3_600)
+CLIENTS = 12
+MAX_BATCH = 6
+TURNED_AWAY_SHARE = 0.1
+KILL_AFTER_S = 3.0 + 0.7
+RESTART_AFTER_S = 1.0
+PHASE_S = 1.5
+# An end of a connection this long after its last byte was passed on has not crossed a request.
+MAX_CROSSING_S = 0.3
+# A client's answer and the endpoint's record of a request are read by one event loop, one after the other.
+MAX_RECORD_DELAY_S = 0.1
+
+_numbers = itertools.count(1)
+
+
+@dataclass(frozen=True)
+class PipelinedRequest:
+    """One request of a batch."""
+
+    request_id: str
+    kind: str
+    body_bytes: int
+
+    @classmethod
+    def of(cls, kind: str, body_bytes: int = 0) -> PipelinedRequest:
+        """Return a request with a new id."""
+        return cls(f"p{next(_numbers)}", kind, body_bytes)
+
+    def packed(self) -> bytes:
+        """The command, for a customer of its own."""
+        number = int(self.request_id[1:])
+        key = f",k=key{number}" if self.kind == "put" else ""
+        terms = f"c={self.kind},t=team,d=3000{key},units=1,spread=1,first=0".encode()
+        words = [b"%016x" % number, self.request_id.encode(), terms]
+        if self.kind == "read":
+            return hiredis.pack_command((b"CALL.GET", *words))
+        return hiredis.pack_command((b"CALL.POST", *words, b"x" * self.body_bytes))
+
+
+def value_for(request_id: str, length: int = 0) -> bytes:
+    """The value that the endpoint makes for a request."""
+    return f"value of {request_id} ".encode().ljust(length, b".")
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """A request that came whole to the endpoint."""
+
+    at_s: float
+    is_turned_away: bool
+
+
+class NamingEndpoint(FakeEndpoint):
+    """An endpoint that answers each request with a value that names it, or turns it away."""
+
+    def __init__(self, rng: random.Random, turned_away_share: float = TURNED_AWAY_SHARE) -> None:
+        """Draw the delays and lengths of values."""
+        super().__init__("a")
+        self.rng, self.turned_away_share = rng, turned_away_share
+        # Requests that are always turned away.
+        self.turned_away_ids: set[str] = set()
+        self.arrivals: defaultdict[str, list[Arrival]] = defaultdict(list)
+        self.script = self._take
+
+    def _take(self, command: list[bytes]) -> bytes | None:
+        self.commands.clear()
+        loop, peer, request_id = asyncio.get_running_loop(), self.peer, command[2].decode()
+        is_turned_away = self.rng.random() < self.turned_away_share
+        is_turned_away |= request_id in self.turned_away_ids
+        self.arrivals[request_id].append(Arrival(loop.time(), is_turned_away))
+        if is_turned_away:
+            return b"-BUSY\r\n"
+        assert peer is not None
+        reply = value(
+            value_for(request_id, self.rng.choice(VALUE_BYTES)), b"latency_ms=20,util=0.2"
+        )
+        loop.call_later(self.rng.uniform(0, 0.06), self._answer, peer.transport, reply)
+        return None
+
+    @staticmethod
+    def _answer(transport: asyncio.Transport, reply: bytes) -> None:
+        if not transport.is_closing():
+            transport.write(reply)
+
+    def may_have_run(self, request_id: str) -> bool:
+        """Whether the endpoint has taken a request and not turned it away."""
+        return any(not each.is_turned_away for each in self.arrivals.get(request_id, ()))
+
+
+@dataclass
+class PipelineFindings:
+    """What a run has seen: answers, and whatever breaks a rule."""
+
+    answers: Counter[str] = field(default_factory=Counter)
+    faults: list[str] = field(default_factory=list)
+
+
+class ReplyChecker:
+    """Checks each reply against the request in whose place it came, and what the endpoint did."""
+
+    def __init__(self, endpoint: NamingEndpoint) -> None:
+        """Check against the records of this endpoint."""
+        self.endpoint = endpoint
+        self.findings = PipelineFindings()
+        # When each refused request that may not simply be repeated was refused.
+        self.refused_at_s: dict[str, float] = {}
+
+    def replied(self, request: PipelinedRequest, reply: object) -> None:
+        """Check the reply that came in the place of a request."""
+        if isinstance(reply, bytes):
+            self.findings.answers["served"] += 1
+            if not reply.startswith(value_for(request.request_id)):
+                self.fault(f"{request} was served {reply[:30]!r}")
+        elif str(reply).startswith("BUSY"):
+            self.findings.answers["busy"] += 1
+            if request.kind != "read":
+                self.refused_at_s[request.request_id] = asyncio.get_running_loop().time()
+        else:
+            self.findings.answers["failed"] += 1
+
+    def fault(self, text: str) -> None:
+        """Note a broken rule."""
+        self.findings.faults.append(text)
+
+    def finish(self) -> PipelineFindings:
+        """Check what can be told only at the end; return all findings."""
+        for request_id, refused_at_s in self.refused_at_s.items():
+            if self.endpoint.may_have_run(request_id):
+                self.fault(f"{request_id} was refused and has run")
+            arrivals = self.endpoint.arrivals.get(request_id, ())
+            if any(each.at_s > refused_at_s + MAX_RECORD_DELAY_S for each in arrivals):
+                self.fault(f"{request_id} was sent on after its refusal")
+        for request_id, arrivals in self.endpoint.arrivals.items():
+            if request_id in self.unrepeatable_ids and self._runs(arrivals) > 1:
+                self.fault(f"{request_id} ran twice")
+        return self.findings
+
+    unrepeatable_ids: frozenset[str] | set[str] = frozenset()
+
+    @staticmethod
+    def _runs(arrivals: list[Arrival]) -> int:
+        return sum(not each.is_turned_away for each in arrivals)
+
+
+class PipeliningClient:
+    """Writes batches of requests on one connection that it keeps, and reads their replies."""
+
+    def __init__(self, run: PipelineRun, rng: random.Random) -> None:
+        """Start to send."""
+        self.run, self.rng = run, rng
+        self.sock: socket.socket | None = None
+        self.task = asyncio.create_task(self._send_all())
+
+    async def _send_all(self) -> None:
+        while not self.run.is_ending:
+            batch = [self._draw() for _ in range(self.rng.randint(1, MAX_BATCH))]
+            await self._exchange(batch)
+            await asyncio.sleep(self.rng.uniform(0, 0.1))
+        self._close()
+
+    def _draw(self) -> PipelinedRequest:
+        kind = self.rng.choice(CLASSES)
+        request = PipelinedRequest.of(kind, 0 if kind == "read" else self.rng.choice(BODY_BYTES))
+        if kind == "bill":
+            self.run.unrepeatable_ids.add(request.request_id)
+        return request
+
+    async def _exchange(self, batch: list[PipelinedRequest]) -> None:
+        """Send a batch; a connection that ends takes the rest of it along, unless that is too late."""
+        run, loop, kills = self.run, asyncio.get_running_loop(), self.run.kills
+        unanswered = list(batch)
+        port = 0
+        try:
+            async with asyncio.timeout(REQUEST_DEADLINE_S + ANSWER_SLACK_S):
+                if self.sock is None:
+                    self.sock = await run.connect()
+                port = self.sock.getsockname()[1]
+                run.proxy.passed_on_at_s.pop(port, None)
+                sending = loop.sock_sendall(self.sock, b"".join(each.packed() for each in batch))
+                await asyncio.gather(sending, self._read_replies(unanswered))
+        except (OSError, TimeoutError) as error:
+            self._close()
+            self._note_end(unanswered, port, kills, isinstance(error, TimeoutError))
+
+    async def _read_replies(self, unanswered: list[PipelinedRequest]) -> None:
+        assert self.sock is not None
+        replies = Replies(self.sock)
+        while unanswered:
+            reply = await replies.next()
+            self.run.checker.replied(unanswered.pop(0), reply)
+
+    def _note_end(
+        self, unanswered: list[PipelinedRequest], port: int, kills: int, is_late: bool
+    ) -> None:
+        run = self.run
+        if run.kills != kills or not port:
+            run.checker.findings.answers["killed"] += len(unanswered)
+            return
+        now_s = asyncio.get_running_loop().time()
+        open_s = now_s - run.proxy.passed_on_at_s.get(port, now_s)
+        if is_late or open_s > MAX_CROSSING_S:
+            run.checker.fault(f"{unanswered} had no reply {open_s:.3f} s after the last byte")
+        run.checker.findings.answers["crossed"] += len(unanswered)
+
+    def _close(self) -> None:
+        if self.sock:
+            self.sock.close()
+            self.sock = None
+
+
+class PipelineRun:
+    """A seeded run of one gateway behind the proxy: signals, kills, upgrades, steps of the wall clock."""
+
+    def __init__(self, folder: Path, seed: int) -> None:
+        """Draw everything from the seed."""
+        self.rng = random.Random(seed)
+        self.folder = folder
+        self.endpoint = NamingEndpoint(self.rng)
+        self.checker = ReplyChecker(self.endpoint)
+        self.unrepeatable_ids: set[str] = set()
+        self.checker.unrepeatable_ids = self.unrepeatable_ids
+        self.is_ending = False
+        self.kills = 0
+        self.clock_file = folder / "clock-offset"
+        self.clock_file.write_text("0")
+
+    async def connect(self) -> socket.socket:
+        """Connect a client to the proxy; ``OSError`` where that fails."""
+        sock = socket.socket()
+        sock.setblocking(False)
+        try:
+            await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", self.proxy_port))
+        except BaseException:
+            sock.close()
+            raise
+        return sock
+
+    async def play(self) -> PipelineFindings:
+        """Play the run; return what it found."""
+        await self.endpoint.listen()
+        memory_mb = self.rng.choice((48, 64, 192))
+        self.gateway = LimitedGateway(self.folder, self.endpoint, memory_mb, 512)
+        self.gateway.environment = {
+            "PYTHONPATH": str(CLOCK_SHIM),
+            "CLOCK_OFFSET_FILE": str(self.clock_file),
+            "SAFFRONGW_REQUEST_LOG": str(self.folder / "requests.log"),
+        }
+        await self.gateway.start()
+        self.proxy = CuttingProxy(self.gateway.port, random.Random(self.rng.random()))
+        self.proxy_port = await self.proxy.listen()
+        clients = [PipeliningClient(self, random.Random(self.rng.random())) for _ in range(CLIENTS)]
+        steps = (self._hang_up, self._kill, self._restart, self._upgrade, self._step_clock)
+        try:
+            for step in self.rng.choices(steps, k=3):
+                await asyncio.sleep(self.rng.uniform(0.3, PHASE_S))
+                await step()
+            await asyncio.sleep(self.rng.uniform(0.3, PHASE_S))
+            self.is_ending = True
+            await asyncio.gather(*(client.task for client in clients))
+        finally:
+            for client in clients:
+                client.task.cancel()
+            await self.proxy.close()
+        await self._end(self.gateway.process)
+        return self.checker.finish()
+
+    # -- signals and clocks -----------------------------------------------------------------------
+
+    async def _hang_up(self) -> None:
+        for _ in range(self.rng.randint(1, 5)):
+            self.gateway.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(self.rng.uniform(0, 0.05))
+
+    async def _kill(self) -> None:
+        self.kills += 1
+        self.gateway.process.kill()
+        await self.gateway.process.wait()
+        await asyncio.sleep(RESTART_AFTER_S)
+        await self.gateway.start()
+        self.kills += 1
+
+    async def _restart(self) -> None:
+        await self._end(self.gateway.process)
+        await self.gateway.start()
+
+    async def _upgrade(self) -> None:
+        old = self.gateway.process
+        await self.gateway.start_successor()
+        await self._end(old)
+
+    async def _step_clock(self) -> None:
+        """Step the wall clock of the running process, and of the one that follows it in an upgrade."""
+        self.clock_file.write_text(str(self.rng.choice(CLOCK_STEPS_S)))
+        if self.rng.random() < 0.5:
+            await self._upgrade()
+
+    async def _end(self, process: asyncio.subprocess.Process) -> None:
+        """SIGTERM, and SIGKILL at the earliest time that the pages name, which excuses nothing."""
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(signal.SIGTERM)
+        try:
+            status = await asyncio.wait_for(process.wait(), KILL_AFTER_S)
+        except TimeoutError:
+            self.checker.findings.answers["(killed at the end)"] += 1
+            process.kill()
+            await process.wait()
+            return
+        if status:
+            self.checker.fault(f"exit status {status} after SIGTERM")
+
+
+async def exchange(
+    gateway: LimitedGateway,
+    requests: list[PipelinedRequest],
+    cut: int,
+    between: Callable[[], object] = lambda: None,
+) -> list[object]:
+    """Send requests in two pieces, cut at a byte, with a pause between; return the replies in order."""
+    loop = asyncio.get_running_loop()
+    data = b"".join(each.packed() for each in requests)
+    async with asyncio.timeout(REQUEST_DEADLINE_S + ANSWER_SLACK_S):
+        with await gateway.connect() as sock:
+            await loop.sock_sendall(sock, data[:cut])
+            await asyncio.sleep(0.1)
+            between()
+            await loop.sock_sendall(sock, data[cut:])
+            replies = Replies(sock)
+            return [await replies.next() for _ in requests]
