Commands: what arrives behind a body waits until the body's command is read

Also: a malformed command behind an upload closed the connection with the upload unanswered, and memory reserved for the upload went to the command behind it.

Cause: since a large body that arrives in pieces is collected on its own, and what came behind it lay in the reader's buffer, where the connection's faster parsers look for the next command first. They took the commands behind the upload before the upload, and replies have the order of processing.

Change: what arrives behind a body is kept with it until its command is read, so the buffer always starts with the next command, whoever looks.

A new property of any bodies and pieces fails before and passes.

--- a/saffrongw/gateway/resp.py
+++ b/saffrongw/gateway/resp.py
@@ -101,7 +101,7 @@
 class PartialBody:
     """The body of a command, while it arrives in pieces; collected, or only counted."""
 
-    __slots__ = ("collected", "head", "last_bytes", "length", "received_bytes", "words")
+    __slots__ = ("behind", "collected", "head", "last_bytes", "length", "received_bytes", "words")
 
     def __init__(self, head: bytes, words: list[bytes], length: int, is_kept: bool) -> None:
         """Start a body of ``length`` bytes after ``head``, the bytes of the words before it."""
@@ -112,21 +112,28 @@
         # Of its final size from the start: growing buffers would fragment the heap.
         self.collected = bytearray(length + 2) if is_kept else None
         self.last_bytes = b""
+        # What has arrived behind the command.
+        self.behind = b""
 
     @property
     def missing_bytes(self) -> int:
         """How much of the body and its terminator has not arrived."""
         return self.length + 2 - self.received_bytes
 
-    def feed(self, data: bytes) -> bytes:
-        """Take what belongs to the body, and return the rest."""
+    @property
+    def arrived_bytes(self) -> int:
+        """How much of the command, and behind it, has arrived."""
+        return len(self.head) + self.received_bytes + len(self.behind)
+
+    def feed(self, data: bytes) -> None:
+        """Take what belongs to the body, and keep the rest."""
         part = data[: self.missing_bytes]
         end = self.received_bytes + len(part)
         if self.collected is not None:
             self.collected[self.received_bytes : end] = part
         self.last_bytes = (self.last_bytes + part[-2:])[-2:]
         self.received_bytes = end
-        return data[len(part) :]
+        self.behind += data[len(part) :]
 
     def command(self) -> list[bytes]:
         """Return the words of the complete command; its body is empty if it was not kept."""
@@ -135,9 +142,10 @@
         body = b"" if self.collected is None else bytes(memoryview(self.collected)[: self.length])
         return [*self.words, body]
 
-    def received(self) -> bytes:
-        """Return the bytes of the command that have arrived, if its body is kept."""
-        return self.head + bytes(memoryview(self.collected or b"")[: self.received_bytes])
+    def arrived(self) -> bytes:
+        """Return what has arrived of the command, if its body is kept, and behind it."""
+        body = bytes(memoryview(self.collected or b"")[: self.received_bytes])
+        return self.head + body + self.behind
 
 
 class CommandReader(_Buffer):
@@ -145,6 +153,9 @@
 
     ``may_keep_body`` is asked, with its length, once for each large body that arrives in pieces; a
     body that may not be kept is read and dropped, so that the next command is found.
+
+    ``data`` at ``position`` is always where the next command starts: while a body is collected, it
+    is empty, so that nobody reads the commands behind the body first.
     """
 
     __slots__ = ("body", "is_body_dropped", "may_keep_body")
@@ -159,12 +170,14 @@
 
     def feed(self, data: bytes) -> None:
         """Append bytes, and discard those that are consumed."""
-        super().feed(self.body.feed(data) if self.body else data)
+        if self.body:
+            self.body.feed(data)
+        else:
+            super().feed(data)
 
     def __len__(self) -> int:
         """How many bytes have arrived and are not processed."""
-        collected = len(self.body.head) + self.body.received_bytes if self.body else 0
-        return super().__len__() + collected
+        return self.body.arrived_bytes if self.body else super().__len__()
 
     @property
     def is_dropping(self) -> bool:
@@ -173,7 +186,7 @@
 
     def unprocessed(self) -> bytes:
         """Return what has arrived and is not processed; not while a body is dropped."""
-        return (self.body.received() if self.body else b"") + self.data[self.position :]
+        return self.body.arrived() if self.body else self.data[self.position :]
 
     def release_consumed(self) -> None:
         """Free the memory of what is consumed."""
@@ -194,6 +207,7 @@
         if self.body.missing_bytes:
             return None
         body, self.body = self.body, None
+        self.data, self.position = body.behind, 0
         self.is_body_dropped = body.collected is None
         return body.command()
 
@@ -227,7 +241,8 @@
             return
         head, rest = self.data[self.position : header.end()], self.data[header.end() :]
         self.body = PartialBody(head, words, length, self.may_keep_body(length))
-        self.data, self.position = self.body.feed(rest), 0
+        self.body.feed(rest)
+        self.data, self.position = b"", 0
 
 
 class Reply(NamedTuple):
--- a/tests/gateway/test_command_reader.py
+++ b/tests/gateway/test_command_reader.py
@@ -19,8 +19,8 @@
 HEAD = (b"CALL.POST", b"%016x" % 7, b"id", b"c=put,t=team,d=2000")
 
 
-def packed(body: bytes) -> bytes:
-    return hiredis.pack_command((*HEAD, body))
+def packed(body: bytes, request_id: bytes = HEAD[2]) -> bytes:
+    return hiredis.pack_command((*HEAD[:2], request_id, HEAD[3], body))
 
 
 def read_all(reader: CommandReader, pieces: list[bytes]) -> list[list[bytes]]:
@@ -53,6 +53,48 @@
     assert all(length >= MIN_COLLECTED_BODY_BYTES for length in asked)
 
 
+@given(
+    sizes=st.lists(st.integers(0, 3 * MIN_COLLECTED_BODY_BYTES), min_size=1, max_size=5),
+    cuts=st.lists(st.integers(0, 60_000), max_size=12),
+    kept=st.booleans(),
+)
+def test_who_looks_for_a_command_before_asking_for_the_next_one_keeps_their_order(
+    sizes, cuts, kept
+):
+    """As connections do, which have a faster parser for common commands."""
+    commands = [packed(b"x" * size, b"id%d" % number) for number, size in enumerate(sizes)]
+    stream, ids = b"".join(commands), []
+    reader = CommandReader(lambda _length: kept)
+    places = sorted({min(cut, len(stream)) for cut in cuts} | {0, len(stream)})
+    for start, end in itertools.pairwise(places):
+        reader.feed(stream[start:end])
+        while True:
+            rest = reader.data[reader.position :]
+            if found := [each for each in commands if rest.startswith(each)]:
+                reader.position += len(found[0])
+                ids.append(b"id%d" % commands.index(found[0]))
+            elif (command := reader.next()) is not None:
+                ids.append(command[2])
+            else:
+                break
+        reader.release_consumed()
+    assert ids == [b"id%d" % number for number in range(len(sizes))]
+    assert len(reader) == 0 and not reader.data
+
+
+@given(cut=st.integers(1, 60_000), behind=st.integers(0, 3_000))
+def test_what_has_arrived_behind_a_body_is_handed_over_in_its_place(cut, behind):
+    upload, following = packed(b"x" * 60_000, b"upload"), packed(b"y" * 2_500, b"behind")
+    stream = upload + following[:behind]
+    reader, successor = CommandReader(), CommandReader()
+    reader.feed(stream[:cut])
+    assert reader.next() is None
+    reader.feed(stream[cut:])
+    assert len(reader) == len(stream) and reader.unprocessed() == stream
+    commands = read_all(successor, [reader.unprocessed(), following[behind:]])
+    assert [command[2] for command in commands] == [b"upload", b"behind"]
+
+
 @given(cut=st.integers(1, 60_000))
 def test_what_has_arrived_of_a_command_can_be_handed_over(cut):
     stream = packed(b"x" * 60_000)
