Commands that wait on their connection: the wait counts in the time endpoints are told

Cause: the term d was counted from when a command was taken from the reader's input, not from when it came; commands wait there, in the kernel or at a client that can't write on while reading is paused.

Change: InputAge says since when data may have waited: from the start of a pause of reading, or the last look that found nothing, until all is read. It is taken off the request's time, and crosses a hot restart with the connection (a third value of its message, which older versions ignore).

--- a/saffrongw/gateway/downstream/connection.py
+++ b/saffrongw/gateway/downstream/connection.py
@@ -10,11 +10,12 @@
 from ..in_flight_memory import STREAM_BYTES
 from ..reasons import CloseReason, RejectionReason
 from ..request_parser import class_and_plan, parse_request
-from ..request_types import FAILED, RequestTerms, busy_reply
+from ..request_types import FAILED, US_PER_MS, RequestTerms, busy_reply
 from ..resp import CommandReader, MalformedMessageError
 from ..streaming_reply import StreamingReply
 from . import socket_state
 from .buffer_limits import limit_buffers
+from .input_age import InputAge
 from .reply_slot import ReplySlot
 from .reservations import Reservations
 
@@ -46,8 +47,13 @@
 
     transport: asyncio.Transport
 
-    def __init__(self, clients: ClientConnections, initial_data: bytes = b"") -> None:
-        """Prepare for a connection that is not open yet."""
+    def __init__(
+        self, clients: ClientConnections, initial_data: bytes = b"", waited_us: int = 0
+    ) -> None:
+        """Prepare for a connection that is not open yet.
+
+        The predecessor process may have read ``initial_data`` and left it waiting.
+        """
         super().__init__(clients.read_buffer)
         self.clients = clients
         # Set when it is opened.
@@ -55,8 +61,8 @@
         self.request_log = clients.driver.request_log
         self.shutdown = clients.shutdown
         self.reaper = clients.reaper
-        # Bytes that the predecessor process read and did not process.
         self.initial_data = initial_data
+        self.input_age = InputAge(clients.driver.clock, waited_us)
         self.memory = clients.in_flight_memory
         self.reservations = Reservations(self.memory, clients.reply_sizes)
         self.reader = CommandReader(self.reservations.may_keep_body)
@@ -90,6 +96,7 @@
     def _process_initial_data(self) -> None:
         if not self.is_closing and not self.transport.is_closing():
             self.process_commands()
+            self._check_caught_up()
 
     # -- backpressure -----------------------------------------------------------------------------
 
@@ -123,8 +130,24 @@
             self.clients.paused_reads.set_paused(self, not is_reading)
             if is_reading:
                 self.transport.resume_reading()
+                self.input_age.resume()
+                # By then, data that was held below a TLS connection has been received.
+                self.clients.loop.call_soon(self._check_caught_up)
             else:
                 self.transport.pause_reading()
+                self.input_age.pause()
+
+    def check_waiting_input(self, is_readable: bool) -> None:
+        """Note, while reading is paused, that nothing has arrived that waits to be processed."""
+        if not is_readable and not len(self.reader) and not self._is_tls():
+            self.input_age.nothing_waited()
+
+    def _check_caught_up(self) -> None:
+        """Note, while reading is not paused, that nothing waits here or in the socket."""
+        if not self.is_reading or len(self.reader) or self.transport.is_closing():
+            return
+        if not socket_state.is_readable(self):
+            self.input_age.caught_up()
 
     # -- commands ---------------------------------------------------------------------------------
 
@@ -132,6 +155,8 @@
         """Process the commands that are complete with this data."""
         if self.is_closing:
             return
+        if self.input_age.since_us is not None:
+            self.input_age.received()
         self.reader.feed(data)
         self.process_commands()
         if self.is_turn_over:
@@ -139,9 +164,13 @@
         if len(data) >= FULL_READ_BYTES:
             self._end_turn()
             self.update_reading()
-        elif self.pipeline_limit < MAX_PIPELINED_COMMANDS:
+            return
+        if self.pipeline_limit < MAX_PIPELINED_COMMANDS:
             self.pipeline_limit = MAX_PIPELINED_COMMANDS
             self.update_reading()
+        # What is missing of a command may have waited at a client that could not write it.
+        if self.is_reading and not len(self.reader):
+            self.input_age.caught_up()
 
     def process_commands(self) -> None:
         """Process the complete commands, up to the pipeline limit and this turn's budget."""
@@ -233,14 +262,12 @@
         clients, driver = self.clients, self.clients.driver
         if self.request_log:
             self.request_log.received(self.number, parts, terms.kind)
+        if self.input_age.since_us is not None:
+            terms = self._without_wait(terms)
         if parts[2] in clients.open_request_ids:
             raise MalformedMessageError("a request with this id is open")
         if driver.recent_requests.may_not_run(terms.kind, parts[1], parts[2]):
-            # A refusal would tell the client that trying again does no harm.
-            driver.metrics.failed[terms.kind] += 1
-            if self.request_log:
-                self.request_log.repeated(self.number, parts[2])
-            self._append_reply(FAILED)
+            self._fail_repeated(terms, parts)
         elif self.shutdown.rejects_requests or self.shutdown.is_handing_over:
             self._reject_request(terms, parts, busy_reply(0), RejectionReason.SHUTDOWN)
         elif is_body_dropped or not self.reservations.reserve_request(terms.kind, parts):
@@ -259,6 +286,21 @@
         if self.reservations.command_bytes:
             self.reservations.release_command()
 
+    def _fail_repeated(self, terms: RequestTerms, parts: tuple[bytes, ...]) -> None:
+        """Fail a request that may have run before.
+
+        A refusal would tell the client that trying again does no harm.
+        """
+        self.clients.driver.metrics.failed[terms.kind] += 1
+        if self.request_log:
+            self.request_log.repeated(self.number, parts[2])
+        self._append_reply(FAILED)
+
+    def _without_wait(self, terms: RequestTerms) -> RequestTerms:
+        """Return the terms with the time that is left after the command has waited."""
+        time_left_us = terms.timeout_us - self.input_age.waited_us
+        return terms._replace(timeout_us=max(US_PER_MS, time_left_us))
+
     def _append_request(self, kind: int, parts: tuple[bytes, ...]) -> ReplySlot:
         """Append the slot of a request that is started or queued; it gets what is reserved."""
         slot = ReplySlot(self, parts[2], kind, self.reservations.take_request())
@@ -462,7 +504,10 @@
         if self.unwritten_bytes or not self._leaves_commands():
             return False
         give = self.shutdown.give_to_successor
-        if give is None or not give(socket_state.descriptor(self), self.reader.unprocessed()):
+        if give is None:
+            return False
+        descriptor = socket_state.descriptor(self)
+        if not give(descriptor, self.reader.unprocessed(), self.input_age.waited_us):
             return False
         self.close_reason = CloseReason.HANDED_OVER
         self.clients.lost(self)
--- a/saffrongw/gateway/downstream/graceful_shutdown.py
+++ b/saffrongw/gateway/downstream/graceful_shutdown.py
@@ -23,9 +23,9 @@
 
 POLL_INTERVAL_S = 0.01
 
-# Gives a connection's descriptor, and the bytes read of its next command, to the successor; returns
-# whether that was possible.
-GiveToSuccessor = Callable[[int, bytes], bool]
+# Gives a connection's descriptor, the bytes read of its next commands, and for how long (us) these
+# have waited, to the successor; returns whether that was possible.
+GiveToSuccessor = Callable[[int, bytes, int], bool]
 
 
 class GracefulShutdown:
--- a/saffrongw/gateway/downstream/listener.py
+++ b/saffrongw/gateway/downstream/listener.py
@@ -114,10 +114,10 @@
         for listener in self.listeners:
             listener.close()
 
-    def adopt(self, sock: socket.socket, initial_data: bytes) -> None:
-        """Serve the predecessor's connection, with the bytes it read of the next command."""
+    def adopt(self, sock: socket.socket, initial_data: bytes, waited_us: int = 0) -> None:
+        """Serve the predecessor's connection, with what it read and how long that has waited."""
         if self.ensure_capacity():
-            self.acceptor.adopt(sock, ClientConnection(self, initial_data))
+            self.acceptor.adopt(sock, ClientConnection(self, initial_data, waited_us))
         else:
             sock.close()
 
--- a/saffrongw/gateway/downstream/paused_reads.py
+++ b/saffrongw/gateway/downstream/paused_reads.py
@@ -1,4 +1,4 @@
-"""Detects clients that disconnect while reading from their connections is paused."""
+"""Watches client connections while reading from them is paused."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
     """Polls the connections whose reading is paused.
 
     The event loop does not report a disconnect on them. Unnoticed, their requests would still be
-    sent to endpoints.
+    sent to endpoints. Nor does it report that data has arrived, which waits from then on.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -43,6 +43,9 @@
     def _check(self) -> None:
         for connection in socket_state.disconnected(self.connections):
             connection.transport.abort()
+        readable = set(socket_state.readable(self.connections))
+        for connection in self.connections:
+            connection.check_waiting_input(connection in readable)
         self.is_checking = bool(self.connections)
         if self.is_checking:
             self.loop.call_later(CHECK_INTERVAL_S, self._check)
--- a/saffrongw/gateway/downstream/socket_state.py
+++ b/saffrongw/gateway/downstream/socket_state.py
@@ -26,9 +26,14 @@
     return _polled(connections, _DISCONNECTED)
 
 
+def readable(connections: Iterable[ClientConnection]) -> list[ClientConnection]:
+    """Return the connections in whose socket data, or the end of the connection, is unread."""
+    return _polled(connections, select.POLLIN)
+
+
 def is_readable(connection: ClientConnection) -> bool:
     """Whether data, or the end of the connection, is unread in the socket."""
-    return bool(_polled((connection,), select.POLLIN))
+    return bool(readable((connection,)))
 
 
 def unacknowledged_bytes(connection: ClientConnection) -> int:
--- a/saffrongw/gateway/hot_restart/messages.py
+++ b/saffrongw/gateway/hot_restart/messages.py
@@ -32,6 +32,8 @@
 ROWS_OVERHEAD_BYTES = 64
 # Bytes of a partial command in one packet: escaped in JSON, they can become six times as long.
 PARTIAL_COMMAND_CHUNK_BYTES = 4 * 1024
+# A client waits no longer for a reply.
+MAX_WAITED_US = 3_600_000_000
 
 
 class MessageKind(StrEnum):
@@ -51,7 +53,8 @@
     GO = "go"
     # From the running process: another successor has connected; this one must not serve.
     REPLACED = "replaced"
-    # From the running process: a client's idle connection, and how long its partial command is.
+    # From the running process: a client's idle connection, how many bytes of its commands follow,
+    # and for how long (us) these have waited. Versions without the last of these ignore it.
     CLIENT = "client"
     # From the running process: the next bytes of that partial command.
     PARTIAL_COMMAND = "begun"
@@ -120,6 +123,13 @@
         return int(message[1])
 
 
+def decode_waited_us(message: Message) -> int:
+    """Return for how long the commands that follow a client's connection have waited."""
+    with _decoding(message[0]):
+        waited_us = int(message[2]) if len(message) > 2 else 0
+    return min(max(0, waited_us), MAX_WAITED_US)
+
+
 def encode_bytes(data: bytes) -> str:
     """Encode bytes as text, as JSON has no bytes."""
     return data.decode("latin-1")
--- a/saffrongw/gateway/hot_restart/predecessor.py
+++ b/saffrongw/gateway/hot_restart/predecessor.py
@@ -138,8 +138,8 @@
             channel.abort()
         return channel.is_open
 
-    def _give_client(self, fd: int, partial_command: bytes) -> bool:
-        """Send a client's connection and partial command; return whether that worked.
+    def _give_client(self, fd: int, unprocessed: bytes, waited_us: int) -> bool:
+        """Send a client's connection and what it has sent; return whether that worked.
 
         Where the channel is full, the client waits here until there is room (``on_room``).
         """
@@ -148,7 +148,7 @@
             # The successor can't take over, so drain: connections are at least closed in order.
             self.parts.clients.shutdown.is_draining = True
             return False
-        return channel.send_connection(_client_messages(partial_command), fd)
+        return channel.send_connection(_client_messages(unprocessed, waited_us), fd)
 
     def _give_upstream(self, endpoint_id: EndpointId, started_at_us: int, fd: int) -> bool:
         """Send an idle connection to an endpoint; return whether that worked."""
@@ -159,10 +159,10 @@
         )
 
 
-def _client_messages(partial_command: bytes) -> Iterator[tuple[object, ...]]:
-    """Yield the message for a client's connection, then those with its partial command."""
-    length = len(partial_command)
-    yield MessageKind.CLIENT, length
+def _client_messages(unprocessed: bytes, waited_us: int) -> Iterator[tuple[object, ...]]:
+    """Yield the message for a client's connection, then those with what the client has sent."""
+    length = len(unprocessed)
+    yield MessageKind.CLIENT, length, waited_us
     for start in range(0, length, PARTIAL_COMMAND_CHUNK_BYTES):
-        chunk = partial_command[start : start + PARTIAL_COMMAND_CHUNK_BYTES]
+        chunk = unprocessed[start : start + PARTIAL_COMMAND_CHUNK_BYTES]
         yield MessageKind.PARTIAL_COMMAND, encode_bytes(chunk)
--- a/saffrongw/gateway/hot_restart/successor.py
+++ b/saffrongw/gateway/hot_restart/successor.py
@@ -21,6 +21,7 @@
     decode_remembered,
     decode_rows,
     decode_upstream,
+    decode_waited_us,
 )
 from .parts import GatewayParts
 from .waiting import wait_for_first
@@ -34,9 +35,10 @@
 class _IncomingClient:
     """A client's connection whose partial command has not arrived in full."""
 
-    def __init__(self, sock: socket.socket, expected_bytes: int) -> None:
+    def __init__(self, sock: socket.socket, expected_bytes: int, waited_us: int) -> None:
         self.sock = sock
         self.expected_bytes = expected_bytes
+        self.waited_us = waited_us
         self.partial_command = bytearray()
 
 
@@ -174,7 +176,8 @@
         self.is_replaced = True
 
     def _receive_client(self, message: Message, sockets: list[socket.socket]) -> None:
-        self.incoming_client = _IncomingClient(_one_socket(sockets), decode_length(message))
+        length, waited_us = decode_length(message), decode_waited_us(message)
+        self.incoming_client = _IncomingClient(_one_socket(sockets), length, waited_us)
         self._adopt_complete_client()
 
     def _receive_partial_command(self, message: Message, _sockets: list[socket.socket]) -> None:
@@ -197,7 +200,7 @@
             self.incoming_client = None
             clients = self._require_parts().clients
             self._adopt_when_serving(
-                partial(clients.adopt, client.sock, bytes(client.partial_command))
+                partial(clients.adopt, client.sock, bytes(client.partial_command), client.waited_us)
             )
 
     def _receive_upstream(self, message: Message, sockets: list[socket.socket]) -> None:
--- a/tests/gateway/test_hot_restart_messages.py
+++ b/tests/gateway/test_hot_restart_messages.py
@@ -100,6 +100,7 @@
         (messages.decode_quiesced, ["quiesced"]),
         (messages.decode_upstream, ["host", "a", "b"]),
         (messages.decode_length, ["client", "x"]),
+        (messages.decode_waited_us, ["client", 0, "x"]),
         (messages.decode_bytes, ["begun", 5]),
         (messages.decode_rows, ["rows", 5]),
     ],
@@ -109,6 +110,19 @@
         decode(message)
 
 
+@pytest.mark.parametrize(
+    ("message", "waited_us"),
+    [
+        (["client", 0], 0),
+        (["client", 0, 70], 70),
+        (["client", 0, -1], 0),
+        (["client", 0, 10**30], messages.MAX_WAITED_US),
+    ],
+)
+def test_the_wait_of_commands_is_bounded_and_may_be_missing(message, waited_us):
+    assert messages.decode_waited_us(message) == waited_us
+
+
 @pytest.mark.parametrize("row", [[], ["a"] * 8, ["a", "no such state", 0, 0, 0, 1.0, "h", 1]])
 def test_a_malformed_endpoint_row_is_rejected(row):
     with pytest.raises(MalformedMessageError, match=r"^listed: "):
