Handed-over connections: the wait of an idle one does not count for its next command

Cause: a connection without initial data never looked whether it had caught up, and the span since reading began was not known. Also, the look after a pause came a turn of the loop late, when a fast client's next command may be there.

Change: an adopted connection looks at once; plain connections look in the moment reading is resumed; the span counts from the start.

--- a/saffrongw/gateway/downstream/connection.py
+++ b/saffrongw/gateway/downstream/connection.py
@@ -92,6 +92,8 @@
             self.reader.feed(data)
             # Reading starts after this method returns: if it were paused here, it would go on.
             self.clients.loop.call_soon(self._process_initial_data)
+        else:
+            self._check_caught_up()
 
     def _process_initial_data(self) -> None:
         if not self.is_closing and not self.transport.is_closing():
@@ -131,8 +133,11 @@
             if is_reading:
                 self.transport.resume_reading()
                 self.input_age.resume()
-                # By then, data that was held below a TLS connection has been received.
-                self.clients.loop.call_soon(self._check_caught_up)
+                if self._is_tls():
+                    # By then, data that was held below the connection has been received.
+                    self.clients.loop.call_soon(self._check_caught_up)
+                else:
+                    self._check_caught_up()
             else:
                 self.transport.pause_reading()
                 self.input_age.pause()
@@ -144,7 +149,9 @@
 
     def _check_caught_up(self) -> None:
         """Note, while reading is not paused, that nothing waits here or in the socket."""
-        if not self.is_reading or len(self.reader) or self.transport.is_closing():
+        if self.input_age.since_us is None or not self.is_reading or len(self.reader):
+            return
+        if self.transport.is_closing():
             return
         if not socket_state.is_readable(self):
             self.input_age.caught_up()
--- a/saffrongw/gateway/downstream/input_age.py
+++ b/saffrongw/gateway/downstream/input_age.py
@@ -22,8 +22,8 @@
         self._clock = clock
         # None while nothing waits.
         self.since_us: int | None = clock() - waited_us if waited_us > 0 else None
-        # When data was read last, or reading was resumed; None while it is paused.
-        self._read_at_us: int | None = None
+        # When data was read last, or reading began; None while it is paused.
+        self._read_at_us: int | None = clock()
 
     @property
     def waited_us(self) -> int:
--- a/tests/gateway/test_time_of_waiting_commands.py
+++ b/tests/gateway/test_time_of_waiting_commands.py
@@ -138,6 +138,20 @@
     here.close()
 
 
+@asyncio_test
+async def test_a_command_that_comes_after_a_hand_over_of_an_idle_connection_has_all_its_time():
+    rig = await waiting_rig()
+    await rig.listen()
+    there, here = socket.socketpair()
+    rig.clients.adopt(there, b"", waited_us=int(WAIT_S * 1e6))
+    await until(lambda: rig.clients.connections)
+    terms = b"c=read,t=team,d=%d,units=1,spread=2,first=0" % DEADLINE_MS
+    here.send(hiredis.pack_command((b"CALL.GET", b"0000000000000007", b"fresh", terms)))
+    await rig.check_told(1, rig.loop.time())
+    assert told_ms(rig.endpoint.commands[0]) > DEADLINE_MS - 1_000 * WAIT_S / 2
+    here.close()
+
+
 @asyncio_test
 async def test_the_new_process_is_told_how_long_a_command_has_waited_at_the_old_one():
     rig = await waiting_rig()
