--- a/tests/faults/pipeline_rig.py
+++ b/tests/faults/pipeline_rig.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import itertools
 import random
-import signal
 import socket
 from collections import Counter, defaultdict
 from collections.abc import Callable
@@ -18,6 +16,7 @@
 from cutting_proxy import CuttingProxy
 from fake_endpoint import FakeEndpoint, value
 from loop_lag import LoopLag
+from signal_steps import SignalSteps
 
 CLOCK_SHIM = Path(__file__).parent / "clock_shim"
 CLASSES = ("read", "put", "bill")
@@ -42,8 +41,6 @@
 # Share of batches whose client leaves before it has all replies.
 LEAVING_SHARE = 0.05
 MAX_STAY_S = 0.05
-KILL_AFTER_S = 3.0 + 0.7
-RESTART_AFTER_S = 1.0
 PHASE_S = 1.5
 # An end of a connection this long after its last byte was passed on has not crossed a request.
 MAX_CROSSING_S = 0.3
@@ -236,7 +233,7 @@
 
     async def _exchange(self, batch: list[PipelinedRequest]) -> None:
         """Send a batch; a connection that ends takes the rest of it along, unless that is too late."""
-        run, loop, kills = self.run, asyncio.get_running_loop(), self.run.kills
+        run, loop, kills = self.run, asyncio.get_running_loop(), self.run.signals.kills
         unanswered = list(batch)
         port, started_s = 0, loop.time()
         try:
@@ -286,7 +283,7 @@
         self, unanswered: list[PipelinedRequest], sent_at_s: float | None, kills: int, is_late: bool
     ) -> None:
         run, answers = self.run, self.run.checker.findings.answers
-        if run.kills != kills:
+        if run.signals.kills != kills:
             answers["killed"] += len(unanswered)
             return
         now_s = asyncio.get_running_loop().time()
@@ -312,7 +309,8 @@
         self.endpoint.max_delay_s = self.rng.choice(MAX_DELAYS_S)
         self.checker = ReplyChecker(self.endpoint)
         self.is_ending = False
-        self.kills = 0
+        findings = self.checker.findings
+        self.signals = SignalSteps(self.rng, findings.faults, findings.answers)
         self.clock_file = folder / "clock-offset"
         self.clock_file.write_text("0")
 
@@ -340,11 +338,19 @@
             "CLOCK_OFFSET_FILE": str(self.clock_file),
             "SAFFRONGW_REQUEST_LOG": str(self.folder / "requests.log"),
         }
+        self.signals.gateway = self.gateway
         await self.gateway.start()
         self.proxy = CuttingProxy(self.gateway.port, random.Random(self.rng.random()))
         self.proxy_port = await self.proxy.listen()
         clients = [PipeliningClient(self, random.Random(self.rng.random())) for _ in range(CLIENTS)]
-        steps = (self._hang_up, self._kill, self._restart, self._upgrade, self._step_clock)
+        signals = self.signals
+        steps = (
+            signals.hang_up,
+            signals.kill,
+            signals.restart,
+            signals.upgrade,
+            self._step_clock,
+        )
         try:
             for step in self.rng.choices(steps, k=3):
                 await asyncio.sleep(self.rng.uniform(0.3, PHASE_S))
@@ -357,52 +363,14 @@
                 client.task.cancel()
             await self.proxy.close()
             self.checker.lag.task.cancel()
-        await self._end(self.gateway.process)
+        await self.signals.end(self.gateway.process)
         return self.checker.finish()
 
-    # -- signals and clocks -----------------------------------------------------------------------
-
-    async def _hang_up(self) -> None:
-        for _ in range(self.rng.randint(1, 5)):
-            self.gateway.process.send_signal(signal.SIGHUP)
-            await asyncio.sleep(self.rng.uniform(0, 0.05))
-
-    async def _kill(self) -> None:
-        self.kills += 1
-        self.gateway.process.kill()
-        await self.gateway.process.wait()
-        await asyncio.sleep(RESTART_AFTER_S)
-        await self.gateway.start()
-        self.kills += 1
-
-    async def _restart(self) -> None:
-        await self._end(self.gateway.process)
-        await self.gateway.start()
-
-    async def _upgrade(self) -> None:
-        old = self.gateway.process
-        await self.gateway.start_successor()
-        await self._end(old)
-
     async def _step_clock(self) -> None:
         """Step the wall clock of the running process, and of the one that follows it in an upgrade."""
         self.clock_file.write_text(str(self.rng.choice(CLOCK_STEPS_S)))
         if self.rng.random() < 0.5:
-            await self._upgrade()
-
-    async def _end(self, process: asyncio.subprocess.Process) -> None:
-        """SIGTERM, and SIGKILL at the earliest time that the pages name, which excuses nothing."""
-        with contextlib.suppress(ProcessLookupError):
-            process.send_signal(signal.SIGTERM)
-        try:
-            status = await asyncio.wait_for(process.wait(), KILL_AFTER_S)
-        except TimeoutError:
-            self.checker.findings.answers["(killed at the end)"] += 1
-            process.kill()
-            await process.wait()
-            return
-        if status:
-            self.checker.fault(f"exit status {status} after SIGTERM")
+            await self.signals.upgrade()
 
 
 async def exchange(
--- a/tests/faults/soak_rig.py
+++ b/tests/faults/soak_rig.py
@@ -6,7 +6,6 @@
 import contextlib
 import itertools
 import random
-import signal
 import socket
 from collections import Counter
 from dataclasses import dataclass, field
@@ -30,6 +29,7 @@
     write_slowly,
 )
 from loop_lag import LoopLag
+from signal_steps import SignalSteps
 
 BEHAVIOURS: tuple[Behaviour, ...] = (
     pipeline_and_read_slowly,
@@ -44,9 +44,6 @@
 # Memory in MB, and descriptors.
 LIMITS = ((64, 256), (64, 1_024), (96, 512), (192, 1_024))
 USUAL_CLIENTS = 8
-# By the platform's protocol: the earliest SIGKILL after SIGTERM, where the longest deadline is 3 s.
-KILL_AFTER_S = 3.0 + 0.7
-RESTART_AFTER_S = 1.0
 PHASE_S = 2.0
 # An end of a connection this long after a request was written has not crossed it.
 MAX_CROSSING_S = 0.3
@@ -94,7 +91,7 @@
         body = (b"BODY",) if name == b"CALL.POST" else ()
         words = (name, b"%016x" % (number << 8), b"u%d" % number, terms, *body)
         for _ in range(2):
-            kills = run.kills
+            kills = run.signals.kills
             started_s = asyncio.get_running_loop().time()
             try:
                 answer = await asyncio.wait_for(
@@ -102,13 +99,13 @@
                 )
             except TimeoutError:
                 self._close()
-                if run.kills == kills and run.lag.since(started_s) < MAX_LAG_S:
+                if run.signals.kills == kills and run.lag.since(started_s) < MAX_LAG_S:
                     run.findings.faults.append(f"no answer to u{number} sent at {started_s:.3f}")
                 return
             if answer != "closed":
                 run.findings.answers[answer] += 1
                 return
-            if run.kills != kills:
+            if run.signals.kills != kills:
                 run.findings.answers["killed"] += 1
                 return
             open_s = asyncio.get_running_loop().time() - started_s - run.lag.since(started_s)
@@ -118,7 +115,7 @@
             if self.is_sent and open_s > MAX_CROSSING_S:
                 run.findings.faults.append(f"u{number} cut off after {open_s:.3f} s")
                 return
-            if run.is_down:
+            if run.signals.is_down:
                 run.findings.answers["down"] += 1
                 return
         run.findings.answers["closed twice"] += 1
@@ -154,9 +151,7 @@
         self.folder = folder
         self.findings = Findings()
         self.is_ending = False
-        # Whether no process serves, and how often one was killed.
-        self.is_down = False
-        self.kills = 0
+        self.signals = SignalSteps(self.rng, self.findings.faults, self.findings.answers)
         self.memory_mb, self.sockets = self.rng.choice(LIMITS)
         self.endpoint = SlowEndpoint(
             self.rng.choice(VALUE_BYTES), self.rng.choice((0.01, 0.05, 0.4))
@@ -167,12 +162,14 @@
         await self.endpoint.listen()
         self.lag = LoopLag()
         self.gateway = LimitedGateway(self.folder, self.endpoint, self.memory_mb, self.sockets)
+        self.signals.gateway = self.gateway
         await self.gateway.start()
         watch = asyncio.create_task(self._watch_memory())
         crowds = self._draw_crowds()
         clients = [UsualClient(self) for _ in range(USUAL_CLIENTS)]
         try:
-            steps = (self._hang_up, self._kill, self._restart, self._upgrade)
+            signals = self.signals
+            steps = (signals.hang_up, signals.kill, signals.restart, signals.upgrade)
             for step in self.rng.choices(steps, k=3):
                 await asyncio.sleep(self.rng.uniform(0.3, PHASE_S))
                 await step()
@@ -184,7 +181,7 @@
                 await crowd.stop()
             watch.cancel()
             self.lag.task.cancel()
-        await self._end(self.gateway.process)
+        await self.signals.end(self.gateway.process)
         self._check_effects()
         return self.findings
 
@@ -194,62 +191,6 @@
         behaviours = self.rng.sample(BEHAVIOURS, 2)
         return [Crowd(self.gateway, each, count // 2) for each in behaviours] if count else []
 
-    # -- signals ----------------------------------------------------------------------------------
-
-    async def _hang_up(self) -> None:
-        """Several reloads in a row."""
-        for _ in range(self.rng.randint(1, 5)):
-            self.gateway.process.send_signal(signal.SIGHUP)
-            await asyncio.sleep(self.rng.uniform(0, 0.05))
-
-    async def _kill(self) -> None:
-        """SIGKILL, and a new process after a while."""
-        self.kills += 1
-        self.is_down = True
-        self.gateway.process.kill()
-        await self.gateway.process.wait()
-        await asyncio.sleep(RESTART_AFTER_S)
-        await self.gateway.start()
-        self.is_down = False
-
-    async def _restart(self) -> None:
-        """SIGTERM, more signals on the way, and a new process when the old one has ended."""
-        process = self.gateway.process
-        process.send_signal(signal.SIGTERM)
-        if self.rng.random() < 0.5:
-            await asyncio.sleep(0.1)
-            process.send_signal(self.rng.choice((signal.SIGHUP, signal.SIGTERM)))
-        await asyncio.sleep(0.4)
-        # The front sends no new connections any more, and those that stay open are used.
-        self.is_down = True
-        await self._end(process, is_signalled=True)
-        await self.gateway.start()
-        self.is_down = False
-
-    async def _upgrade(self) -> None:
-        """A second process beside the first; SIGTERM to the first when the second can serve."""
-        old = self.gateway.process
-        await self.gateway.start_successor()
-        old.send_signal(signal.SIGTERM)
-        await self._end(old, is_signalled=True)
-
-    async def _end(self, process: asyncio.subprocess.Process, is_signalled: bool = False) -> None:
-        """Await the end of a process, or kill it at the earliest time that the pages name.
-
-        What such a process has not answered by then is lost, so this SIGKILL excuses nothing.
-        """
-        if not is_signalled:
-            process.send_signal(signal.SIGTERM)
-        try:
-            status = await asyncio.wait_for(process.wait(), KILL_AFTER_S)
-        except TimeoutError:
-            self.findings.answers["(killed at the end)"] += 1
-            process.kill()
-            await process.wait()
-            return
-        if status:
-            self.findings.faults.append(f"exit status {status} after SIGTERM")
-
     # -- checks -----------------------------------------------------------------------------------
 
     async def _watch_memory(self) -> None:
@@ -258,7 +199,7 @@
             with contextlib.suppress(OSError):
                 self.findings.peak_mb = max(self.findings.peak_mb, self.gateway.resident_mb())
             running = [each for each in self.gateway.processes if each.returncode is None]
-            if not running and not self.is_down:
+            if not running and not self.signals.is_down:
                 self.findings.faults.append("a process ended by itself")
                 return
             await asyncio.sleep(MEMORY_POLL_S)
