Test of a full hand-over queue: a connection may be closed as idle after its answer

Seen: two tests of test_hot_restart_full_channel.py failed beside nine workers: 125 and 24 of the clients' connections were closed.

Cause: the check, not the gateway. Traced: eight plays at once beside twelve busy processes on this code: 767 closed connections, all with their reply and all by the reason idle (the request log); surplus idle connections are closed after 0.5 s, and the clients here take 0.6 to 1.2 s under load. By the protocol a gateway may close a connection between requests.

Change: the check asks that no client is without its reply, which is what it guards against; that each has exactly one stays.

--- a/tests/faults/test_hot_restart_full_channel.py
+++ b/tests/faults/test_hot_restart_full_channel.py
@@ -46,11 +46,14 @@
 
 
 async def finish_uploads(callers: list[Caller]) -> None:
-    """Each client writes the end of its request and gets one answer."""
+    """Each client writes the end of its request and gets one answer.
+
+    After it, a connection may be closed, as too many are idle.
+    """
     for number, caller in enumerate(callers):
         caller.transport.write(upload(number)[-UNSENT_BYTES:])
     await until(lambda: all(each.replies or each.closed for each in callers))
-    assert [each.closed for each in callers].count(True) == 0
+    assert [bool(each.replies) for each in callers].count(False) == 0
     assert {len(each.replies) for each in callers} == {1}
 
 
