Client connections: their end, by closing or a hand-over, is a module of its own

Change: connection_end.py decides when a connection is closed or given to the successor, and does that; what it decides is unchanged.

--- a/saffrongw/gateway/downstream/connection.py
+++ b/saffrongw/gateway/downstream/connection.py
@@ -15,6 +15,7 @@
 from ..streaming_reply import StreamingReply
 from . import socket_state
 from .buffer_limits import limit_buffers
+from .connection_end import ConnectionEnd
 from .input_age import InputAge
 from .reply_slot import ReplySlot
 from .reservations import Reservations
@@ -79,13 +80,14 @@
         # Set within ``process_commands``, which an immediate reply would reenter by ``flush``.
         self.is_processing = False
         self.is_flush_scheduled = False
+        self.end = ConnectionEnd(self)
         # Set when the gateway decides to close the connection.
         self.close_reason: CloseReason | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection; its initial data is processed or, in a hand-over, given on."""
         self.transport = cast("asyncio.Transport", transport)
-        limit_buffers(self.transport, self._is_tls())
+        limit_buffers(self.transport, self.is_tls)
         self.clients.opened(self)
         data, self.initial_data = self.initial_data, b""
         if data or self.shutdown.is_handing_over:
@@ -125,7 +127,7 @@
         is_reading = self.is_writable and not self.is_closing and not self.is_turn_over
         is_reading = is_reading and (not self.slots or self._may_start_more())
         is_reading = is_reading and (
-            self.shutdown.give_to_successor is None or not self._leaves_commands()
+            self.shutdown.give_to_successor is None or not self.end.leaves_commands
         )
         if is_reading is not self.is_reading and not self.transport.is_closing():
             self.is_reading = is_reading
@@ -133,7 +135,7 @@
             if is_reading:
                 self.transport.resume_reading()
                 self.input_age.resume()
-                if self._is_tls():
+                if self.is_tls:
                     # By then, data that was held below the connection has been received.
                     self.clients.loop.call_soon(self._check_caught_up)
                 else:
@@ -144,7 +146,7 @@
 
     def check_waiting_input(self, is_readable: bool) -> None:
         """Note, while reading is paused, that nothing has arrived that waits to be processed."""
-        if not is_readable and not len(self.reader) and not self._is_tls():
+        if not is_readable and not len(self.reader) and not self.is_tls:
             self.input_age.nothing_waited()
 
     def _check_caught_up(self) -> None:
@@ -185,7 +187,7 @@
             return
         self.is_processing = True
         try:
-            if self.shutdown.give_to_successor is None or not self._leaves_commands():
+            if self.shutdown.give_to_successor is None or not self.end.leaves_commands:
                 self._process_all()
         except MalformedMessageError as error:
             # What follows a malformed command can't be interpreted.
@@ -258,7 +260,7 @@
             terms, parts = parse_request(command, self.clients.config)
             self._process_request(terms, parts, self.reader.is_body_dropped)
         elif len(command) == 1 and command[0].upper() == b"PING":
-            self._append_reply(b"-ERR draining\r\n" if self._closes_when_idle() else b"+PONG\r\n")
+            self._append_reply(b"-ERR draining\r\n" if self.end.closes_when_idle else b"+PONG\r\n")
         else:
             raise MalformedMessageError("unknown command")
 
@@ -448,20 +450,12 @@
     def is_unfinished(self) -> bool:
         """Whether a reply is pending or not written completely, or a hand-over is due."""
         # Below a TLS connection there is another write buffer.
-        unwritten = self.undelivered_bytes if self._is_tls() else self.unwritten_bytes
-        return bool(self.slots) or unwritten > 0 or self._awaits_hand_over()
+        unwritten = self.undelivered_bytes if self.is_tls else self.unwritten_bytes
+        return bool(self.slots) or unwritten > 0 or self.end.awaits_hand_over
 
     def settle(self) -> None:
         """Hand the connection over, or close it, if that is due; classify it for the reaper."""
-        if self.transport.is_closing():
-            return
-        if not self.slots:
-            if self.shutdown.give_to_successor and not self.is_closing and self._hand_over():
-                return
-            if self.is_closing or (self._closes_when_idle() and self._is_idle()):
-                self.reaper.restart_close_timeout(self)
-                self.close(CloseReason.DRAINED)
-        self.reaper.classify(self)
+        self.end.settle()
 
     def close(self, reason: CloseReason) -> None:
         """Close once the client has read its replies; the first reason given is counted."""
@@ -473,55 +467,11 @@
         self.close_reason = self.close_reason or reason
         self.transport.abort()
 
-    def _is_idle(self) -> bool:
-        """Whether no command has partly arrived, lies unread, or is expected at once.
-
-        Closing the connection would lose such a command.
-        """
-        if len(self.reader):
-            return False
-        if self._leaves_commands():
-            return True
-        # In a drain, a client that has just connected is about to send a command.
-        is_expected_at_once = not self.shutdown.is_handing_over and self.reaper.is_new(self)
-        return not is_expected_at_once and not socket_state.is_readable(self)
-
-    def _closes_when_idle(self) -> bool:
-        """Whether the gateway drains, or this connection can't be handed to its successor."""
-        return self.shutdown.is_draining or (self.shutdown.is_handing_over and self._is_tls())
-
-    def _leaves_commands(self) -> bool:
-        """Whether data that is not processed yet is left to the process that gets the connection.
-
-        That holds during a hand-over, but for connections that can't leave this process.
-        """
-        is_handing_over = self.shutdown.is_handing_over
-        # A command whose body is dropped can't be given to the successor: it is rejected here.
-        return is_handing_over and not self._is_tls() and not self.reader.is_dropping
-
-    def _awaits_hand_over(self) -> bool:
-        """Whether the successor gets this connection as soon as that is possible."""
-        return self._leaves_commands() and not self.is_closing and not self.transport.is_closing()
-
-    def _is_tls(self) -> bool:
+    @property
+    def is_tls(self) -> bool:
+        """Whether the client's connection is encrypted."""
         return self.transport.get_extra_info("sslcontext") is not None
 
-    def _hand_over(self) -> bool:
-        """Give the connection, and unprocessed data, to the successor; return whether it worked."""
-        if self.unwritten_bytes or not self._leaves_commands():
-            return False
-        give = self.shutdown.give_to_successor
-        if give is None:
-            return False
-        descriptor = socket_state.descriptor(self)
-        if not give(descriptor, self.reader.unprocessed(), self.input_age.waited_us):
-            return False
-        self.close_reason = CloseReason.HANDED_OVER
-        self.clients.lost(self)
-        # Only this process's descriptor is closed.
-        self.transport.abort()
-        return True
-
     def eof_received(self) -> None:
         """End the requests: by the protocol, a client that stops sending has disconnected.
 
