Test of a store that is reopened: the writer's own thread fails, not the test's

Cause: the test closed the writer's SQLite connection from the main thread while the writer's thread committed to it (the dump shows the thread in LedgerStore.commit, called by _commit). The program closes it in that thread only.

Change: a step of the writer's thread fails once, as with a disk; then the same path closes and reopens the store. What the test asks is unchanged.

--- a/tests/ledger/test_ledger_request_filter.py
+++ b/tests/ledger/test_ledger_request_filter.py
@@ -63,6 +63,16 @@
     )
 
 
+def fail_next_step(ledger_writer) -> None:
+    """Let the writer's thread fail once, as a disk does, so that it closes the store and opens it anew."""
+
+    def fail() -> bool:
+        del ledger_writer._process_inbox
+        raise OSError("disk I/O error")
+
+    ledger_writer._process_inbox = fail
+
+
 @asyncio_test
 async def test_an_entry_stays_in_its_incarnation_when_the_store_is_reopened(tmp_path, monkeypatch):
     """Otherwise its answer would be recorded for a request that the new incarnation never had."""
@@ -72,7 +82,7 @@
     caller = await world.rig.caller()
     caller.call("bill", wait=20_000)
     await until(lambda: world.host.commands)
-    world.ledger.writer._close_failed(OSError("disk I/O error"))
+    fail_next_step(world.ledger.writer)
     await until(lambda: world.ledger.writer.incarnation == 2)
     world.host.connections[0].transport.write(value(b"done"))
     assert await caller.replied() == [b"done"]
