Read once more: hand-over is asked first; a dead parameter and a twin of the rigs go

ConnectionEnd.leaves_commands looked up the transport's TLS context although no hand-over is on, before each command's look in a drain; exchange() of the pipelined uploads had a parameter that nobody passes; what an endpoint has run was counted in two places.

No behaviour, bound or check changes.

--- a/saffrongw/gateway/downstream/connection_end.py
+++ b/saffrongw/gateway/downstream/connection_end.py
@@ -47,10 +47,10 @@
 
         That holds during a hand-over, but for connections that can't leave this process.
         """
-        connection = self.connection
+        if not self.shutdown.is_handing_over:
+            return False
         # A command whose body is dropped can't be given to the successor: it is rejected here.
-        may_leave = not connection.is_tls and not connection.reader.is_dropping
-        return self.shutdown.is_handing_over and may_leave
+        return not self.connection.is_tls and not self.connection.reader.is_dropping
 
     @property
     def awaits_hand_over(self) -> bool:
--- a/tests/faults/pipeline_rig.py
+++ b/tests/faults/pipeline_rig.py
@@ -7,7 +7,6 @@
 import random
 import socket
 from collections import Counter, defaultdict
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -130,9 +129,9 @@
         if not transport.is_closing():
             transport.write(reply)
 
-    def may_have_run(self, request_id: str) -> bool:
-        """Whether the endpoint has taken a request and not turned it away."""
-        return any(not each.is_turned_away for each in self.arrivals.get(request_id, ()))
+    def runs(self, request_id: str) -> int:
+        """How often the endpoint has taken a request and not turned it away."""
+        return sum(not each.is_turned_away for each in self.arrivals.get(request_id, ()))
 
 
 @dataclass
@@ -179,13 +178,13 @@
     def finish(self) -> PipelineFindings:
         """Check what can be told only at the end; return all findings."""
         for request_id, refused_at_s in self.refused_at_s.items():
-            if self.endpoint.may_have_run(request_id):
+            if self.endpoint.runs(request_id):
                 self.fault(f"{request_id} was refused and has run")
             arrivals = self.endpoint.arrivals.get(request_id, ())
             if any(each.at_s > refused_at_s + MAX_RECORD_DELAY_S for each in arrivals):
                 self.fault(f"{request_id} was sent on after its refusal")
         for request_id, arrivals in self.endpoint.arrivals.items():
-            if request_id in self.unrepeatable_ids and self._runs(arrivals) > 1:
+            if request_id in self.unrepeatable_ids and self.endpoint.runs(request_id) > 1:
                 self.fault(f"{request_id} ran twice")
             for arrival in arrivals:
                 self._check_times(request_id, arrival)
@@ -203,10 +202,6 @@
         if after_s > MAX_LEFT_S + MAX_RECORD_DELAY_S:
             self.fault(f"{request_id} was sent on {after_s:.3f} s after its client left")
 
-    @staticmethod
-    def _runs(arrivals: list[Arrival]) -> int:
-        return sum(not each.is_turned_away for each in arrivals)
-
 
 class PipeliningClient:
     """Writes batches of requests on one connection that it keeps, and reads their replies."""
@@ -374,10 +369,7 @@
 
 
 async def exchange(
-    gateway: LimitedGateway,
-    requests: list[PipelinedRequest],
-    cut: int,
-    between: Callable[[], object] = lambda: None,
+    gateway: LimitedGateway, requests: list[PipelinedRequest], cut: int
 ) -> list[object]:
     """Send requests in two pieces, cut at a byte, with a pause between; return the replies in order."""
     loop = asyncio.get_running_loop()
@@ -386,7 +378,6 @@
         with await gateway.connect() as sock:
             await loop.sock_sendall(sock, data[:cut])
             await asyncio.sleep(0.1)
-            between()
             await loop.sock_sendall(sock, data[cut:])
             replies = Replies(sock)
             return [await replies.next() for _ in requests]
